--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -22,7 +22,6 @@
 constexpr double kRoom = 0.5;               // least free room, in slots, that counts: rounds to one slot
 constexpr double kJobMemory = 0.9;          // what a worker's older jobs weigh at each new one: about ten count
 constexpr double kKindMemory = 0.99;        // the same for a kind of worker: about a hundred jobs count
-constexpr double kOthersBlend = 0.2;        // how far one observation moves the usual load by others
 constexpr double kUnknownSpeed = 0.5;       // of a kind never seen to finish a job: half a core, on the safe side
 constexpr double kColdMargin = 0.7;         // part of the cold budget used: hints are off by up to a half
 constexpr double kJudgedMost = 0.5;         // share of workers judged bad at once: more is a common cause
@@ -46,7 +45,7 @@
     double out = 0, running = 0;         // own slots sent there, and of these seen to start
     int unstarted = 0;                   // own attempts sent and not seen to start
     int late_starts = 0;                 // of these, how many should have started by now
-    double others = 0, usual = 0;        // slots in use by others: at `others_at`, and as a rule
+    double others = 0;                   // slots in use by others, as seen at `others_at`
     Micros others_at = 0;
     double cap = 0;                      // own slots allowed since it answered full; 0: no cap
     std::optional<double> reported;      // free slots by the last report, less own sends since
@@ -169,7 +168,7 @@
         Worker& w = workers[info.id];
         const bool restarted = info.started > w.info.started;  // another process: nothing learnt holds for it
         const Micros seen_start = w.info.started;
-        if (restarted) w.work = w.time = w.cap = w.others = w.usual = 0, w.reported.reset(), w.unreachable = false;
+        if (restarted) w.work = w.time = w.cap = w.others = 0, w.reported.reset(), w.unreachable = false;
         if (restarted) w.judged_until = 0, w.strikes = 0;
         w.info = info;
         w.info.started = std::max(info.started, seen_start);
@@ -198,18 +197,13 @@
         w.reported = *report.free_slots;
         Kind& kind = kind_of(w);
         kind.slots = std::max(kind.slots, std::round(*report.free_slots));
-        w.usual += kOthersBlend * (std::clamp(kind.slots - *report.free_slots - w.running, 0.0, kind.slots) - w.usual);
     }
 
-    double others(const Worker& w) const {  // what was seen last, fading to the usual within a mean job
-        if (mean_run <= 0) return w.usual;
-        return w.usual + (w.others - w.usual) * std::exp(-static_cast<double>(now - w.others_at) / mean_run);
+    double others(const Worker& w) const {  // what was seen last, fading within a mean job: others' jobs end too
+        return mean_run <= 0 ? 0 : w.others * std::exp(-static_cast<double>(now - w.others_at) / mean_run);
     }
 
-    void see_others(Worker& w, double slots) {
-        w.others = slots, w.others_at = now;
-        w.usual += kOthersBlend * (slots - w.usual);
-    }
+    void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
 
     void started(RequestId id, int number) {
         auto* r = find(id);
