--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -119,7 +119,7 @@
     std::map<std::string, Micros> longest_ttl;  // by class: a first try's
     std::deque<Micros> hints;
     std::uint64_t arrivals = 0, tokens = 0;
-    double threshold = 0, factor = 1, big_share = 0, mean_run = 0;  // threshold 0: not yet known
+    double threshold = 0, factor = 1, big_share = 0, mean_run = 0, mean_wait = 0;  // threshold 0: unknown
     Micros big_full_at = 0;
     int failed_asks = 0;
     bool asking = false, pump_due = false;
@@ -215,6 +215,7 @@
         a.seen_start = true, a.started = a.heard = now;
         --w.unstarted, w.running += r->slots;
         if (a.late_start) --w.late_starts;
+        mean_wait = mean_wait * kJobMemory + static_cast<double>(now - a.sent) * (1 - kJobMemory);
         auto& least = start_delay[w.info.zone];
         if (least == 0 || now - a.sent < least) least = now - a.sent;
         kind.slots = std::max(kind.slots, w.running);
@@ -311,13 +312,13 @@
     }
 
     // ---- hold --------------------------------------------------------------------------------------------------
-    // Time still allows the aim, on a worker as fast as the best kind.
+    // Time still allows the aim, on a worker as fast as the best kind and after the usual wait there.
     bool in_time(const Request& r) const { return now + run_time(r) <= r.due; }
 
     Micros run_time(const Request& r) const {
         double best = 0;
         for (const auto& [key, kind] : kinds) best = std::max(best, kind.time > 0 ? kind.speed() : 0);
-        return best > 0 ? static_cast<Micros>(r.work / best) : 0;
+        return best > 0 ? static_cast<Micros>(r.work / best + mean_wait) : 0;
     }
 
     void hold(Request& r) {
