--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,595 +1,555 @@
 // All decisions of a dispatcher; the interface is src/decide.h, the reasons are in docs/design.md.
 // Thresh-SPLIT(d): hint above d -> a small lane for big jobs, the rest -> the other workers, each job held
-// here until a worker of its lane has room. Read from the top: learn, classify, hold, pick, send, outcome, time-out.
+// here until a worker of its lane has room. Read from the top: learn, classify, hold, pick, send, outcome,
+// time-out.
 #include "decide.h"
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
-#include <map>
 #include <set>
 
+#include "records.h"
+
 namespace woadridge {
 namespace {
 
-constexpr std::size_t kWarmUpHints = 20;    // own hints before d means anything: below, all jobs are small
-constexpr std::size_t kHintMemory = 1000;   // hints kept: ten lie above the 99th percentile
-constexpr std::size_t kHintStep = 16;       // arrivals between two computations of d: it moves slowly
-constexpr double kBigQuantile = 0.99;       // where d starts, from the design page
-constexpr double kThresholdFall = 0.9;      // d's factor for each small-lane "full" ...
-constexpr double kThresholdFloor = 0.05;    // ... down to here ...
-constexpr double kThresholdDrift = 1.02;    // ... and back at each computation of d
-constexpr double kRoom = 0.5;               // least free room, in slots, that counts: rounds to one slot
-constexpr double kJobMemory = 0.9;          // what a worker's older jobs weigh at each new one: about ten count
-constexpr double kKindMemory = 0.99;        // the same for a kind of worker: about a hundred jobs count
-constexpr double kUnknownSpeed = 0.5;       // of a kind never seen to finish a job: half a core, on the safe side
-constexpr double kColdMargin = 0.7;         // part of the cold budget used: hints are off by up to a half
-constexpr double kJudgedMost = 0.5;         // share of workers judged bad at once: more is a common cause
-constexpr double kQuietPeriods = 2.5;       // progress notes missed before a running job's worker is judged
-constexpr Micros kFirstTrial = 500'000;     // a judged worker's first trial comes after this, then doubling ...
-constexpr int kTrialDoublings = 4;          // ... so often
-constexpr Micros kSlotTrial = 5'000'000;    // between two tries to find one more slot than a kind has shown
-constexpr Micros kAskAgain = 400'000;       // first wait after a failed list call, doubling, with jitter ...
-constexpr int kAskDoublings = 4;            // ... so often
-
-struct Kind {  // what all workers of one kind and size have shown
-    double slots = 1, work = 0, time = 0;
-    Micros next_trial = 0;
-    double speed() const { return time > 0 ? work / time : kUnknownSpeed; }
-};
-
-struct Worker {
-    WorkerInfo info;
-    std::uint64_t hash = 0;
-    bool big_lane = false;
-    double out = 0, running = 0;         // own slots sent there, and of these seen to start
-    int unstarted = 0;                   // own attempts sent and not seen to start
-    int late_starts = 0;                 // of these, how many should have started by now
-    double others = 0;                   // slots in use by others, as seen at `others_at`
-    Micros others_at = 0;
-    double cap = 0;                      // own slots allowed since it answered full; 0: no cap
-    std::optional<double> reported;      // free slots by the last report, less own sends since
-    double work = 0, time = 0;           // of own finished jobs, for its speed
-    Micros judged_until = 0;             // no work before
-    int strikes = 0;                     // judgements since its last good answer
-    bool unreachable = false;            // refused a connection or broke one since its last sign of life
-    std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
-};
-
-struct Attempt {
-    WorkerId worker;
-    Micros sent = 0, started = 0, heard = 0;
-    bool out = true, seen_start = false, late_start = false, never_ran = false;
-};
-
-struct QueueKey {  // requests that can use the same workers in the same order wait in one queue
-    bool big = false;
-    std::string kind, zone;
-    std::int64_t group = -1;
-    auto operator<=>(const QueueKey&) const = default;
-};
-
-struct QueuePlace {  // order within a queue: rank, then hint (big lane only), then arrival
-    int rank = 0;
-    Micros hint = 0;
-    std::uint64_t arrival = 0;
-    auto operator<=>(const QueuePlace&) const = default;
-};
-
-struct Request {
-    RequestId id = 0;
-    const ClassSettings* of = nullptr;
-    Micros arrived = 0, due = 0, deadline = 0;
-    double work = 0, slots = 1;
-    std::uint64_t arrival = 0;
-    bool big = false, answered = false, held = false;
-    QueueKey queue;
-    QueuePlace place;
-    std::vector<Attempt> attempts;
-};
-
-enum class Why { deadline, overdue, silence, hopeless, pump, ask };
-struct Alarm {
-    Why why;
-    RequestId id = 0;
-    int attempt = 0;
-};
+constexpr std::size_t kWarmUpHints = 20;   // own hints before d means anything: below, all jobs are small
+constexpr std::size_t kHintMemory = 1000;  // hints kept: ten lie above the 99th percentile
+constexpr std::size_t kHintStep = 16;      // arrivals between two computations of d: it moves slowly
+constexpr double kBigQuantile = 0.99;      // where d starts, from the design page
+constexpr double kThresholdFall = 0.9;     // d's factor for each small-lane "full" ...
+constexpr double kThresholdFloor = 0.05;   // ... down to here ...
+constexpr double kThresholdDrift = 1.02;   // ... and back at each computation of d
+constexpr double kRoom = 0.5;              // least free room, in slots, that counts: rounds to one slot
+constexpr double kJobMemory = 0.9;     // what a worker's older jobs weigh at each new one: about ten count
+constexpr double kKindMemory = 0.99;   // the same for a kind of worker: about a hundred jobs count
+constexpr double kUnknownSpeed = 0.5;  // of a kind never seen to finish a job: half a core, on the safe side
+constexpr double kColdMargin = 0.7;    // part of the cold budget used: hints are off by up to a half
+constexpr double kJudgedMost = 0.5;    // share of workers judged bad at once: more is a common cause
+constexpr double kQuietPeriods = 2.5;  // progress notes missed before a running job's worker is judged
+constexpr Micros kFirstTrial = 500'000;   // a judged worker's first trial comes after this, then doubling ...
+constexpr int kTrialDoublings = 4;        // ... so often
+constexpr Micros kSlotTrial = 5'000'000;  // between two tries to find one more slot than a kind has shown
+constexpr Micros kAskAgain = 400'000;     // first wait after a failed list call, doubling, with jitter ...
+constexpr int kAskDoublings = 4;          // ... so often
 
 std::uint64_t id_hash(const WorkerId& id) {  // FNV-1a, then mixed: the same in every instance and start
-    std::uint64_t h = 1469598103934665603ULL;
-    for (unsigned char c : id) h = (h ^ c) * 1099511628211ULL;
-    h ^= h >> 33;
-    return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
+  std::uint64_t h = 1469598103934665603ULL;
+  for (unsigned char c : id) h = (h ^ c) * 1099511628211ULL;
+  h ^= h >> 33;
+  return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
 }
 
 }  // namespace
 
 struct Dispatcher::State {
-    Settings set;
-    std::uint64_t random = 0;
-    Micros now = 0, born = 0;
-    std::vector<Action>* out = nullptr;
-    std::map<WorkerId, Worker> workers;
-    std::map<std::pair<std::string, double>, Kind> kinds;
-    std::map<std::string, const ClassSettings*> classes;
-    std::map<RequestId, Request> requests;
-    std::map<QueueKey, std::map<QueuePlace, RequestId>> queues;
-    std::map<std::uint64_t, Alarm> alarms;
-    std::map<std::string, Micros> start_delay;  // least time from a send to its start note, by zone
-    std::map<std::string, Micros> longest_ttl;  // by class: a first try's
-    std::deque<Micros> hints;
-    std::uint64_t arrivals = 0, tokens = 0;
-    double threshold = 0, factor = 1, big_share = 0, mean_run = 0, mean_wait = 0;  // threshold 0: unknown
-    Micros big_full_at = 0;
-    int failed_asks = 0;
-    bool asking = false, pump_due = false;
-
-    // ---- learn -------------------------------------------------------------------------------------------------
-    void start(const Settings& settings) {
-        set = settings;
-        random = set.seed ^ 0x9e3779b97f4a7c15ULL;
-        born = now;
-        for (const auto& c : set.classes) classes[c.name] = &c;
-        if (set.list_mode == ListMode::asked) ask_later(set.tick);
-    }
-
-    double uniform() {  // xorshift64*, seeded by the settings: the same events give the same actions
-        random ^= random >> 12, random ^= random << 25, random ^= random >> 27;
-        return static_cast<double>((random * 2685821657736338717ULL) >> 11) * 0x1.0p-53;
-    }
-
-    void alarm(Micros at, Why why, RequestId id = 0, int attempt = 0) {
-        alarms[++tokens] = {why, id, attempt};
-        out->push_back(SetTimer{std::max(at, now), tokens});
-    }
-
-    void ask_later(Micros wait) {
-        if (asking) return;
-        asking = true;
-        alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + uniform())), Why::ask);
-    }
-
-    // A list that can't be had stays in force. All dispatchers ask at once after an outage: back off with jitter.
-    void list(const WorkerList& news) {
-        if (news.kind == ListKind::failed) {
-            ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
-            return;
-        }
-        if (news.kind != ListKind::remembered) failed_asks = 0;
-        std::set<WorkerId> named;
-        for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
-        if (news.kind != ListKind::changes)
-            for (auto& [id, w] : workers)
-                if (!named.contains(id)) w.info.phase = Phase::gone;
-        set_lanes();
-    }
-
-    void learn_worker(const WorkerInfo& info) {
-        Worker& w = workers[info.id];
-        const bool restarted = info.started > w.info.started;  // another process: nothing learnt holds for it
-        const Micros seen_start = w.info.started;
-        if (restarted) w.work = w.time = w.cap = w.others = 0, w.reported.reset(), w.unreachable = false;
-        if (restarted) w.judged_until = 0, w.strikes = 0;
-        w.info = info;
-        w.info.started = std::max(info.started, seen_start);
-        w.hash = id_hash(info.id);
-    }
-
-    Kind& kind_of(const Worker& w) { return kinds[{w.info.kind, w.info.size}]; }
-
-    double speed(const Worker& w) {  // own jobs there, leaning on its kind until there are some
-        Kind& kind = kind_of(w);
-        if (kind.time <= 0) return kUnknownSpeed;
-        const double lean = mean_run;
-        return (w.work + lean * kind.speed()) / (w.time + lean);
-    }
-
-    // A running job's end tells the worker's speed; hints are noisy, so sums are compared.
-    void learn_speed(Worker& w, double work, double time) {
-        Kind& kind = kind_of(w);
-        w.work = w.work * kJobMemory + work, w.time = w.time * kJobMemory + time;
-        kind.work = kind.work * kKindMemory + work, kind.time = kind.time * kKindMemory + time;
-        mean_run = mean_run <= 0 ? time : mean_run * kKindMemory + time * (1 - kKindMemory);
-    }
-
-    void learn_report(Worker& w, const Report& report) {
-        if (!report.free_slots) return;
-        w.reported = *report.free_slots;
-        Kind& kind = kind_of(w);
-        kind.slots = std::max(kind.slots, std::round(*report.free_slots));
-    }
-
-    double others(const Worker& w) const {  // what was seen last, fading within a mean job: others' jobs end too
-        return mean_run <= 0 ? 0 : w.others * std::exp(-static_cast<double>(now - w.others_at) / mean_run);
-    }
-
-    void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
-
-    void started(RequestId id, int number) {
-        auto* r = find(id);
-        if (r == nullptr || number >= static_cast<int>(r->attempts.size())) return;
-        Attempt& a = r->attempts[static_cast<std::size_t>(number)];
-        if (!a.out || a.seen_start) return;
-        Worker& w = workers[a.worker];
-        Kind& kind = kind_of(w);
-        a.seen_start = true, a.started = a.heard = now;
-        --w.unstarted, w.running += r->slots;
-        if (a.late_start) --w.late_starts;
-        mean_wait = mean_wait * kJobMemory + static_cast<double>(now - a.sent) * (1 - kJobMemory);
-        auto& least = start_delay[w.info.zone];
-        if (least == 0 || now - a.sent < least) least = now - a.sent;
-        kind.slots = std::max(kind.slots, w.running);
-        if (!a.late_start) see_others(w, std::min(others(w), kind.slots - w.running));
-        if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, id, number);
-        if (w.unreachable) revive(w);
-    }
-
-    // A worker that could not be reached and now runs a job has restarted, whatever the late list says: cold.
-    void revive(Worker& w) {
-        w.unreachable = false;
-        w.info.started = now;
-    }
-
-    Micros quiet_limit() const { return static_cast<Micros>(kQuietPeriods * static_cast<double>(set.progress_every)); }
-
-    void progress(const Progress& news) {
-        auto* r = find(news.id);
-        if (r == nullptr || news.attempt >= static_cast<int>(r->attempts.size())) return;
-        r->attempts[static_cast<std::size_t>(news.attempt)].heard = now;
-    }
-
-    // ---- classify ----------------------------------------------------------------------------------------------
-    Request* find(RequestId id) {
-        const auto found = requests.find(id);
-        return found == requests.end() ? nullptr : &found->second;
-    }
-
-    void learn_hint(Micros hint) {
-        hints.push_back(hint);
-        if (hints.size() > kHintMemory) hints.pop_front();
-        if (hints.size() < kWarmUpHints || arrivals % kHintStep != 0) return;
-        std::vector<Micros> sorted(hints.begin(), hints.end());
-        std::sort(sorted.begin(), sorted.end());
-        factor = std::min(1.0, factor * kThresholdDrift);
-        const auto at = static_cast<std::size_t>(kBigQuantile * static_cast<double>(sorted.size() - 1));
-        threshold = static_cast<double>(sorted[at]) * factor;
-        double all = 0, big = 0;
-        for (const auto h : sorted) all += static_cast<double>(h), big += static_cast<double>(h) > threshold ? h : 0;
-        big_share = all > 0 ? big / all : 0;
-        set_lanes();
-    }
-
-    // d falls while the small lane is full and the big lane isn't: big jobs' workers have room for more.
-    void see_full(const Worker& w) {
-        if (w.big_lane) big_full_at = now;
-        else if (now - big_full_at > kFirstTrial) factor = std::max(kThresholdFloor, factor * kThresholdFall);
-    }
-
-    bool listed(const Worker& w) const { return w.info.phase == Phase::serving; }
-
-    // A shared fault makes all look bad: above a share the judgements are void, and all are used.
-    bool judged(const Worker& w) {
-        if (now >= w.judged_until) return false;
-        double bad = 0, all = 0;
-        for (const auto& [id, v] : workers)
-            if (listed(v)) ++all, bad += now < v.judged_until ? 1 : 0;
-        return bad <= all * kJudgedMost;
-    }
-
-    // The big lane: for each kind that a class needs the first workers in hash order, up to the big jobs' share of
-    // the size. A lane must outlive its only worker, so judged ones are passed over.
-    void set_lanes() {
-        for (auto& [id, w] : workers) w.big_lane = false;
-        std::set<std::string> needed;
-        for (const auto& c : set.classes) needed.insert(c.worker_kind);
-        for (const auto& kind : needed) {
-            std::vector<Worker*> fit;
-            double total = 0, taken = 0;
-            for (auto& [id, w] : workers)
-                if (listed(w) && !judged(w) && (kind.empty() || kind == w.info.kind)) fit.push_back(&w), total += w.info.size;
-            std::sort(fit.begin(), fit.end(), [](auto* a, auto* b) { return a->hash < b->hash; });
-            for (std::size_t i = 0; i + 1 < fit.size() && (i == 0 || taken < big_share * total); ++i)
-                fit[i]->big_lane = true, taken += fit[i]->info.size;
-        }
-    }
-
-    void arrive(const Arrival& a) {
-        Request& r = requests[a.id];
-        static const ClassSettings unknown;
-        r.id = a.id, r.arrived = now, r.deadline = now + a.time_left, r.slots = std::max(a.slots, 1.0);
-        r.of = classes.contains(a.class_name) ? classes[a.class_name] : &unknown;
-        r.arrival = ++arrivals;
-        r.work = a.hint ? static_cast<double>(*a.hint) : mean_run;
-        if (a.hint) learn_hint(*a.hint);
-        r.big = threshold > 0 && a.hint && static_cast<double>(*a.hint) > threshold;
-        // A shorter time than a first try's tells a repeat, and how long ago its client first asked.
-        auto& longest = longest_ttl[a.class_name];
-        longest = std::max(longest, a.time_left);
-        const Micros gone_by = a.time_left < longest ? std::max<Micros>(0, r.of->deadline - a.time_left) : 0;
-        r.due = now - gone_by + r.of->aim + static_cast<Micros>(r.of->stretch * r.work);
-        alarm(r.deadline - 2 * set.tick, Why::deadline, r.id);
-        hold(r);
-    }
-
-    // ---- hold --------------------------------------------------------------------------------------------------
-    // Time still allows the aim, on a worker as fast as the best kind and after the usual wait there.
-    bool in_time(const Request& r) const { return now + run_time(r) <= r.due; }
-
-    Micros run_time(const Request& r) const {
-        double best = 0;
-        for (const auto& [key, kind] : kinds) best = std::max(best, kind.time > 0 ? kind.speed() : 0);
-        return best > 0 ? static_cast<Micros>(r.work / best + mean_wait) : 0;
-    }
-
-    void hold(Request& r) {
-        r.queue = {r.big, r.of->worker_kind, "", -1};
-        if (const Attempt* first = may_have_run(r); first != nullptr && r.of->effect == Effect::keyed) {
-            if (r.of->scope == Scope::zone) r.queue.zone = workers[first->worker].info.zone;
-            if (r.of->scope == Scope::group) r.queue.group = workers[first->worker].info.group;
-        }
-        r.place = {in_time(r) ? 0 : 1, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
-        queues[r.queue][r.place] = r.id;
-        r.held = true;
-        if (r.place.rank == 0) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
-    }
-
-    void unhold(Request& r) {
-        if (!r.held) return;
-        r.held = false;
-        auto& queue = queues[r.queue];
-        queue.erase(r.place);
-        if (queue.empty()) queues.erase(r.queue);
-    }
-
-    // ---- pick --------------------------------------------------------------------------------------------------
-    // Free room in slots. A job sent and not started tells of a full worker long before "full" does.
-    double room(Worker& w) {
-        if (w.cap > 0 && w.out >= w.cap) return 0;
-        if (w.strikes > 0 && w.out > 0) return 0;  // on trial: one job at a time
-        if (!set.tells_start) return room_untold(w);
-        if (w.late_starts > 0) return 0;
-        Kind& kind = kind_of(w);
-        const double free = kind.slots - others(w) - w.out;
-        if (free < kRoom && w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial) return kRoom;
-        return free;
-    }
-
-    double room_untold(const Worker& w) const {
-        if (set.reports == ReportSource::none) return w.cap > 0 ? w.cap - w.out : 1;
-        if (w.reported) return *w.reported;
-        double sum = 0, told = 0;
-        for (const auto& [id, v] : workers)
-            if (v.reported && listed(v)) sum += *v.reported, ++told;
-        return told > 0 ? sum / told - w.out : 1 - w.out;
-    }
-
-    bool cold(const Worker& w) const { return w.info.started > 0 && now - w.info.started < set.warm_after; }
-
-    // This dispatcher's part of what a cold worker may be sent in one span, in work. Judged by the warm of its kind
-    // and the slowest warming that the settings allow. After an own restart all is taken as spent.
-    bool within_cold_budget(Worker& w, double work) {
-        if (!cold(w) || set.overload_span <= 0) return true;
-        if (now - born < set.overload_span && w.info.started < born) return false;
-        while (!w.sent.empty() && w.sent.front().first <= now - set.overload_span) w.sent.pop_front();
-        double spent = work;
-        for (const auto& [at, amount] : w.sent) spent += amount;
-        const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
-        const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
-        const Kind& kind = kind_of(w);
-        const double capacity = kind.slots * std::min(kind.speed(), speed(w)) * part;
-        return spent <= kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span) /
-                            std::max(1, set.fleet_size);
-    }
-
-    bool may_take(Worker& w, const Request& r) {
-        if (!listed(w) || judged(w)) return false;
-        if (!r.queue.kind.empty() && w.info.kind != r.queue.kind) return false;
-        if (!r.queue.zone.empty() && w.info.zone != r.queue.zone) return false;
-        if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
-        for (const auto& a : r.attempts)
-            if (a.out && a.worker == w.info.id) return false;
-        return within_cold_budget(w, r.work);
-    }
-
-    // Most free room, then fewest own jobs, then at random; own zone first among those with a whole free slot.
-    Worker* best(const Request& r, bool big_lane, bool idle_only) {
-        Worker* chosen = nullptr;
-        std::pair<double, double> top{};
-        double drawn = 0;
-        for (auto& [id, w] : workers) {
-            if (w.big_lane != big_lane) continue;
-            const double free = room(w);
-            if (free < kRoom * r.slots || !may_take(w, r)) continue;
-            if (idle_only && (w.out > 0 || others(w) >= kRoom)) continue;
-            const double near = w.info.zone == set.zone && free >= r.slots ? 1 : 0;
-            const std::pair<double, double> rank{near * 1000 + free * speed(w), -w.out};
-            const double draw = uniform();
-            if (chosen == nullptr || rank > top || (rank == top && draw > drawn)) chosen = &w, top = rank, drawn = draw;
-        }
-        return chosen;
-    }
-
-    // The job's own lane first. Small jobs may use a big-lane worker with room, big ones a wholly idle small one.
-    Worker* pick(const Request& r) {
-        if (Worker* w = best(r, r.big, false)) return w;
-        return best(r, !r.big, r.big);
-    }
-
-    // ---- send --------------------------------------------------------------------------------------------------
-    void pump() {
-        std::vector<QueueKey> keys;
-        for (const auto& [key, queue] : queues) keys.push_back(key);
-        std::stable_partition(keys.begin(), keys.end(), [](auto& k) { return !k.zone.empty() || k.group >= 0; });
-        for (const auto& key : keys) {
-            while (queues.contains(key)) {
-                Request& r = requests.at(queues[key].begin()->second);
-                Worker* w = pick(r);
-                if (w != nullptr) send(r, *w);
-                else if (r.place.rank > 0 && r.of->late_worth <= 0) give_up(r);
-                else break;
-            }
-        }
-        if (!queues.empty() && !pump_due) {
-            pump_due = true;
-            alarm(now + std::max<Micros>(static_cast<Micros>(mean_run / 8), 4 * set.tick), Why::pump);
-        }
-    }
-
-    Micros start_limit(const Worker& w) {  // a free slot shows by then: handshakes take up to three round trips
-        const auto least = start_delay.find(w.info.zone);
-        const Micros usual = least == start_delay.end() ? set.connect_timeout / 4 : least->second;
-        return 4 * usual + 2 * set.tick;
-    }
-
-    void send(Request& r, Worker& w) {
-        unhold(r);
-        Kind& kind = kind_of(w);
-        if (set.tells_start && kind.slots - others(w) - w.out < kRoom) kind.next_trial = now + kSlotTrial;
-        Attempt a;
-        a.worker = w.info.id, a.sent = now;
-        r.attempts.push_back(a);
-        w.out += r.slots, ++w.unstarted;
-        if (w.reported) *w.reported -= r.slots;
-        if (cold(w)) w.sent.emplace_back(now, r.work);
-        out->push_back(Send{r.id, w.info.id, 0});
-        if (set.tells_start)
-            alarm(now + start_limit(w), Why::overdue, r.id, static_cast<int>(r.attempts.size()) - 1);
-    }
-
-    // ---- outcome -----------------------------------------------------------------------------------------------
-    const Attempt* may_have_run(const Request& r) const {  // the earliest such attempt
-        for (const auto& a : r.attempts)
-            if (!a.never_ran) return &a;
-        return nullptr;
-    }
-
-    // Rule 2: who may be sent again. Keyed repeats only while the group still remembers the earliest.
-    bool may_resend(const Request& r) const {
-        if (static_cast<int>(r.attempts.size()) >= set.max_attempts) return false;
-        const Attempt* first = may_have_run(r);
-        if (first == nullptr || r.of->effect == Effect::safe) return true;
-        return r.of->effect == Effect::keyed && now <= first->sent + r.of->memory - set.tick;
-    }
-
-    bool may_refuse(const Request& r) const {
-        if (r.of->effect == Effect::safe || may_have_run(r) == nullptr) return true;
-        return r.of->effect == Effect::keyed && r.of->scope == Scope::all;
-    }
-
-    void answered(Request& r) {  // cancels what is still out; the entry stays until all attempts have ended
-        unhold(r);
-        r.answered = true;
-        for (std::size_t i = 0; i < r.attempts.size(); ++i)
-            if (r.attempts[i].out && set.may_cancel) out->push_back(Cancel{r.id, static_cast<int>(i)});
-        forget(r);
-    }
-
-    void forget(Request& r) {
-        if (r.answered && std::none_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; }))
-            requests.erase(r.id);
-    }
-
-    void give_up(Request& r) {
-        if (may_refuse(r)) out->push_back(Refuse{r.id, set.may_hold_off ? set.max_hold_off : 0});
-        else out->push_back(Fail{r.id});
-        answered(r);
-    }
-
-    void judge(Worker& w) {
-        w.judged_until = now + (kFirstTrial << std::min(w.strikes++, kTrialDoublings));
-        set_lanes();
-    }
-
-    void learn_outcome(Worker& w, const Request& r, const Attempt& a, Result result) {
-        if (result == Result::ok) {
-            w.strikes = 0, w.judged_until = 0;
-            if (w.cap > 0) w.cap += 1;
-            if (a.seen_start && r.work > 0) learn_speed(w, r.work, static_cast<double>(now - a.started));
-        } else if (result == Result::full) {
-            see_full(w);
-            w.cap = std::max(1.0, w.out);
-            see_others(w, kind_of(w).slots);
-        } else if (result == Result::no_connection || result == Result::broken) {
-            w.unreachable = true;
-            judge(w);
-        }
-    }
-
-    void outcome(const Outcome& o) {
-        auto* r = find(o.id);
-        if (r == nullptr || o.attempt >= static_cast<int>(r->attempts.size())) return;
-        Attempt& a = r->attempts[static_cast<std::size_t>(o.attempt)];
-        if (!a.out) return;
-        Worker& w = workers[a.worker];
-        a.out = false;
-        w.out -= r->slots;
-        if (a.seen_start) w.running -= r->slots;
-        else --w.unstarted, w.late_starts -= a.late_start ? 1 : 0;
-        a.never_ran = o.result == Result::full || o.result == Result::no_connection || o.result == Result::never_sent;
-        learn_outcome(w, *r, a, o.result);
-        learn_report(w, o.report);
-        if (o.finished && !r->answered) answered(*r);
-        else if (r->answered) forget(*r);
-        else go_on(*r);
-    }
-
-    // An attempt has ended without an answer: another if the rules and the time allow, else the final answer.
-    void go_on(Request& r) {
-        if (r.held || std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; })) return;
-        if (now >= r.deadline || !may_resend(r)) give_up(r);
-        else hold(r);
-    }
-
-    void client_left(RequestId id) {
-        if (auto* r = find(id); r != nullptr && !r->answered) answered(*r);
-    }
-
-    // ---- time-out ----------------------------------------------------------------------------------------------
-    void fired(std::uint64_t token) {
-        const auto found = alarms.find(token);
-        if (found == alarms.end()) return;
-        const Alarm a = found->second;
-        alarms.erase(found);
-        if (a.why == Why::pump) pump_due = false;
-        if (a.why == Why::ask) asking = false, out->push_back(Subscribe{});
-        auto* r = find(a.id);
-        if (r == nullptr || r->answered) return;
-        if (a.why == Why::deadline) deadline(*r);
-        if (a.why == Why::hopeless) hopeless(*r);
-        if (a.why == Why::overdue) overdue(*r, a.attempt);
-        if (a.why == Why::silence) silence(*r, a.attempt);
-    }
-
-    // Rule 1: what is held gets its answer just before the time is up, what is out just after it at the latest.
-    void deadline(Request& r) {
-        const bool is_out = std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; });
-        if (now < r.deadline && is_out) return alarm(r.deadline, Why::deadline, r.id);
-        give_up(r);
-    }
-
-    // Held past the last moment that could make the aim: behind all that can still be in time.
-    void hopeless(Request& r) {
-        if (!r.held || r.place.rank > 0) return;
-        unhold(r);
-        hold(r);
-    }
-
-    // Sent and not started though a free slot would have taken it at once: others use that worker.
-    void overdue(Request& r, int number) {
-        Attempt& a = r.attempts[static_cast<std::size_t>(number)];
-        if (!a.out || a.seen_start || a.late_start) return;
-        Worker& w = workers[a.worker];
-        a.late_start = true, ++w.late_starts;
-        see_others(w, std::max(0.0, kind_of(w).slots - w.running));
-    }
-
-    // Runs and has said nothing for several progress periods: hung, dead or standing still.
-    void silence(Request& r, int number) {
-        Attempt& a = r.attempts[static_cast<std::size_t>(number)];
-        if (!a.out) return;
-        if (now < a.heard + quiet_limit()) return alarm(a.heard + quiet_limit(), Why::silence, r.id, number);
-        judge(workers[a.worker]);
-    }
+  Settings set;
+  std::uint64_t random = 0;
+  Micros now = 0, born = 0;
+  std::vector<Action>* out = nullptr;
+  std::map<WorkerId, Worker> workers;
+  std::map<std::pair<std::string, double>, Kind> kinds;
+  std::map<std::string, const ClassSettings*> classes;
+  std::map<RequestId, Request> requests;
+  std::map<QueueKey, std::map<QueuePlace, RequestId>> queues;
+  std::map<std::uint64_t, Alarm> alarms;
+  std::map<std::string, Micros> start_delay;  // least time from a send to its start note, by zone
+  std::map<std::string, Micros> longest_ttl;  // by class: a first try's
+  std::deque<Micros> hints;
+  std::uint64_t arrivals = 0, tokens = 0;
+  double threshold = 0, factor = 1, big_share = 0, mean_run = 0, mean_wait = 0;  // threshold 0: unknown
+  Micros big_full_at = 0;
+  int failed_asks = 0;
+  bool asking = false, pump_due = false;
+
+  // ---- learn ----
+  void on(const Start& e) {
+    set = e.settings;
+    random = set.seed ^ 0x9e3779b97f4a7c15ULL;
+    born = now;
+    for (const auto& c : set.classes) classes[c.name] = &c;
+    if (set.list_mode == ListMode::asked) ask_later(set.tick);
+  }
+
+  double uniform() {  // xorshift64*, seeded by the settings: the same events give the same actions
+    random ^= random >> 12, random ^= random << 25, random ^= random >> 27;
+    return static_cast<double>((random * 2685821657736338717ULL) >> 11) * 0x1.0p-53;
+  }
+
+  void alarm(Micros at, Why why, RequestId id = 0, int attempt = 0) {
+    alarms[++tokens] = {why, id, attempt};
+    out->push_back(SetTimer{std::max(at, now), tokens});
+  }
+
+  void ask_later(Micros wait) {
+    if (asking) return;
+    asking = true;
+    alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + uniform())), Why::ask);
+  }
+
+  // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
+  void on(const WorkerList& news) {
+    if (news.kind == ListKind::failed) {
+      ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
+      return;
+    }
+    if (news.kind != ListKind::remembered) failed_asks = 0;
+    std::set<WorkerId> named;
+    for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
+    if (news.kind != ListKind::changes)
+      for (auto& [id, w] : workers)
+        if (!named.contains(id)) w.info.phase = Phase::gone;
+    std::erase_if(workers,
+                  [](auto& e) { return e.second.info.phase == Phase::gone && e.second.attempts == 0; });
+    set_lanes();
+  }
+
+  void learn_worker(const WorkerInfo& info) {
+    Worker& w = workers[info.id];
+    const bool restarted = info.started > w.info.started;  // another process: nothing learnt holds for it
+    const Micros seen_start = w.info.started;
+    if (restarted) w.work = w.time = w.cap = w.others = 0, w.reported.reset(), w.unreachable = false;
+    if (restarted) w.judged_until = 0, w.strikes = 0;
+    w.info = info;
+    w.info.started = std::max(info.started, seen_start);
+    w.hash = id_hash(info.id);
+  }
+
+  Kind& kind_of(const Worker& w) { return kinds[{w.info.kind, w.info.size}]; }
+
+  double speed(const Worker& w) {  // own jobs there, leaning on its kind until there are some
+    const Kind& kind = kind_of(w);
+    if (kind.time <= 0) return kUnknownSpeed;
+    return (w.work + mean_run * kind.work / kind.time) / (w.time + mean_run);
+  }
+
+  // A running job's end tells the worker's speed; hints are noisy, so sums are compared.
+  void learn_speed(Worker& w, double work, double time) {
+    Kind& kind = kind_of(w);
+    w.work = w.work * kJobMemory + work, w.time = w.time * kJobMemory + time;
+    kind.work = kind.work * kKindMemory + work, kind.time = kind.time * kKindMemory + time;
+    mean_run = mean_run <= 0 ? time : mean_run * kKindMemory + time * (1 - kKindMemory);
+  }
+
+  void learn_report(Worker& w, const Report& report) {
+    if (!report.free_slots) return;
+    w.reported = *report.free_slots;
+    Kind& kind = kind_of(w);
+    kind.slots = std::max(kind.slots, std::round(*report.free_slots));
+  }
+
+  // Slots in use by others: what was seen last, fading within a mean job, as others' jobs end too.
+  double others(const Worker& w) const {
+    return mean_run <= 0 ? 0 : w.others * std::exp(-static_cast<double>(now - w.others_at) / mean_run);
+  }
+
+  void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
+
+  void on(const Started& e) {
+    auto [r, found] = attempt(e.id, e.attempt);
+    if (found == nullptr || found->seen_start) return;
+    Attempt& a = *found;
+    Worker& w = workers[a.worker];
+    Kind& kind = kind_of(w);
+    a.seen_start = true, a.started = a.heard = now;
+    --w.unstarted, w.running += r->slots;
+    if (a.late_start) --w.late_starts;
+    mean_wait = mean_wait * kJobMemory + static_cast<double>(now - a.sent) * (1 - kJobMemory);
+    auto& least = start_delay[w.info.zone];
+    if (least == 0 || now - a.sent < least) least = now - a.sent;
+    kind.slots = std::max(kind.slots, w.running);
+    if (!a.late_start) see_others(w, std::min(others(w), kind.slots - w.running));
+    if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, e.id, e.attempt);
+    if (w.unreachable) revive(w);
+  }
+
+  // A worker that could not be reached and now runs a job has restarted, whatever the late list says: cold.
+  void revive(Worker& w) {
+    w.unreachable = false;
+    w.info.started = now;
+  }
+
+  Micros quiet_limit() const {
+    return static_cast<Micros>(kQuietPeriods * static_cast<double>(set.progress_every));
+  }
+
+  void on(const Progress& e) {
+    if (auto* a = attempt(e.id, e.attempt).second; a != nullptr) a->heard = now;
+  }
+
+  void on(const Probed& e) {
+    if (workers.contains(e.worker)) learn_report(workers[e.worker], e.report);
+  }
+  void on(const StreamBegun& e) { on(Progress{e.id, e.attempt, 0}); }
+  void on(const Stop&) {}
+
+  // ---- classify ----
+  Request* find(RequestId id) {
+    const auto found = requests.find(id);
+    return found == requests.end() ? nullptr : &found->second;
+  }
+
+  // The attempt, if it is still out: late news of ended ones change nothing.
+  std::pair<Request*, Attempt*> attempt(RequestId id, int number) {
+    auto* r = find(id);
+    if (r == nullptr || number < 0 || number >= static_cast<int>(r->attempts.size()))
+      return {nullptr, nullptr};
+    Attempt& a = r->attempts[static_cast<std::size_t>(number)];
+    return {r, a.out ? &a : nullptr};
+  }
+
+  void learn_hint(Micros hint) {
+    hints.push_back(hint);
+    if (hints.size() > kHintMemory) hints.pop_front();
+    if (hints.size() < kWarmUpHints || arrivals % kHintStep != 0) return;
+    std::vector<Micros> sorted(hints.begin(), hints.end());
+    std::sort(sorted.begin(), sorted.end());
+    factor = std::min(1.0, factor * kThresholdDrift);
+    const auto at = static_cast<std::size_t>(kBigQuantile * static_cast<double>(sorted.size() - 1));
+    threshold = static_cast<double>(sorted[at]) * factor;
+    double all = 0, big = 0;
+    for (const auto h : sorted)
+      all += static_cast<double>(h), big += static_cast<double>(h) > threshold ? h : 0;
+    big_share = all > 0 ? big / all : 0;
+    set_lanes();
+  }
+
+  // d falls while the small lane is full and the big lane isn't: big jobs' workers have room for more.
+  void see_full(const Worker& w) {
+    if (w.big_lane) big_full_at = now;
+    else if (now - big_full_at > kFirstTrial) factor = std::max(kThresholdFloor, factor * kThresholdFall);
+  }
+
+  bool listed(const Worker& w) const { return w.info.phase == Phase::serving; }
+
+  // A shared fault makes all look bad: above a share the judgements are void, and all are used.
+  bool judged(const Worker& w) {
+    if (now >= w.judged_until) return false;
+    double bad = 0, all = 0;
+    for (const auto& [id, v] : workers)
+      if (listed(v)) ++all, bad += now < v.judged_until ? 1 : 0;
+    return bad <= all * kJudgedMost;
+  }
+
+  // The big lane: for each kind that a class needs the first workers in hash order, up to the big jobs'
+  // share of the size. A lane must outlive its only worker, so judged ones are passed over.
+  void set_lanes() {
+    for (auto& [id, w] : workers) w.big_lane = false;
+    std::set<std::string> needed;
+    for (const auto& c : set.classes) needed.insert(c.worker_kind);
+    for (const auto& kind : needed) {
+      std::vector<Worker*> fit;
+      double total = 0, taken = 0;
+      for (auto& [id, w] : workers)
+        if (listed(w) && !judged(w) && (kind.empty() || kind == w.info.kind))
+          fit.push_back(&w), total += w.info.size;
+      std::sort(fit.begin(), fit.end(), [](auto* a, auto* b) { return a->hash < b->hash; });
+      for (std::size_t i = 0; i + 1 < fit.size() && (i == 0 || taken < big_share * total); ++i)
+        fit[i]->big_lane = true, taken += fit[i]->info.size;
+    }
+  }
+
+  void on(const Arrival& a) {
+    Request& r = requests[a.id];
+    static const ClassSettings unknown;
+    r.id = a.id, r.arrived = now, r.deadline = now + a.time_left, r.slots = std::max(a.slots, 1.0);
+    r.of = classes.contains(a.class_name) ? classes[a.class_name] : &unknown;
+    r.arrival = ++arrivals;
+    r.work = a.hint ? static_cast<double>(*a.hint) : mean_run;
+    if (a.hint) learn_hint(*a.hint);
+    r.big = threshold > 0 && a.hint && static_cast<double>(*a.hint) > threshold;
+    // A shorter time than a first try's tells a repeat, and how long ago its client first asked.
+    auto& longest = longest_ttl[a.class_name];
+    longest = std::max(longest, a.time_left);
+    const Micros gone_by = a.time_left < longest ? std::max<Micros>(0, r.of->deadline - a.time_left) : 0;
+    r.due = now - gone_by + r.of->aim + static_cast<Micros>(r.of->stretch * r.work);
+    alarm(r.deadline - 2 * set.tick, Why::deadline, r.id);
+    hold(r);
+  }
+
+  // ---- hold ----
+  // Time still allows the aim, on a worker of the best kind and after the usual wait there.
+  bool in_time(const Request& r) const { return now + run_time(r) <= r.due; }
+
+  Micros run_time(const Request& r) const {
+    double best = 0;
+    for (const auto& [key, kind] : kinds) best = std::max(best, kind.time > 0 ? kind.work / kind.time : 0);
+    return best > 0 ? static_cast<Micros>(r.work / best + mean_wait) : 0;
+  }
+
+  void hold(Request& r) {
+    r.queue = {r.big, r.of->worker_kind, "", -1};
+    if (const Attempt* first = may_have_run(r); first != nullptr && r.of->effect == Effect::keyed) {
+      if (r.of->scope == Scope::zone) r.queue.zone = first->zone;
+      if (r.of->scope == Scope::group) r.queue.group = first->group;
+    }
+    const bool late = !in_time(r);
+    // Too late for any worth, and others wait: refused at once, so that the client knows.
+    if (late && r.of->late_worth <= 0 && queues.contains(r.queue)) return give_up(r);
+    r.place = {late ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
+    queues[r.queue][r.place] = r.id;
+    r.held = true;
+    if (!late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
+  }
+
+  void unhold(Request& r) {
+    if (!r.held) return;
+    r.held = false;
+    auto& queue = queues[r.queue];
+    queue.erase(r.place);
+    if (queue.empty()) queues.erase(r.queue);
+  }
+
+  // ---- pick ----
+  // Free room in slots. A job sent and not started tells of a full worker long before "full" does.
+  double room(Worker& w) {
+    if (w.cap > 0 && w.out >= w.cap) return 0;
+    if (w.strikes > 0 && w.out > 0) return 0;  // on trial: one job at a time
+    if (!set.tells_start) return room_untold(w);
+    if (w.late_starts > 0) return 0;
+    Kind& kind = kind_of(w);
+    const double free = kind.slots - others(w) - w.out;
+    if (free < kRoom && w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial) return kRoom;
+    return free;
+  }
+
+  double room_untold(const Worker& w) const {
+    if (set.reports == ReportSource::none) return w.cap > 0 ? w.cap - w.out : 1;
+    if (w.reported) return *w.reported;
+    double sum = 0, told = 0;
+    for (const auto& [id, v] : workers)
+      if (v.reported && listed(v)) sum += *v.reported, ++told;
+    return told > 0 ? sum / told - w.out : 1 - w.out;
+  }
+
+  bool cold(const Worker& w) const { return w.info.started > 0 && now - w.info.started < set.warm_after; }
+
+  // This dispatcher's part of what a cold worker may be sent in one span, in work. Judged by the warm of
+  // its kind and the slowest warming that the settings allow. After an own restart all is taken as spent.
+  bool within_cold_budget(Worker& w, double work) {
+    if (!cold(w) || set.overload_span <= 0) return true;
+    if (now - born < set.overload_span && w.info.started < born) return false;
+    while (!w.sent.empty() && w.sent.front().first <= now - set.overload_span) w.sent.pop_front();
+    double spent = work;
+    for (const auto& [at, amount] : w.sent) spent += amount;
+    const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
+    const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
+    const double capacity = kind_of(w).slots * speed(w) * part;
+    return spent <= kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span) /
+                        std::max(1, set.fleet_size);
+  }
+
+  bool may_take(Worker& w, const Request& r) {
+    if (!listed(w) || judged(w)) return false;
+    if (!r.queue.kind.empty() && w.info.kind != r.queue.kind) return false;
+    if (!r.queue.zone.empty() && w.info.zone != r.queue.zone) return false;
+    if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
+    for (const auto& a : r.attempts)
+      if (a.out && a.worker == w.info.id) return false;
+    return within_cold_budget(w, r.work);
+  }
+
+  // Most free room, then fewest own jobs, then at random; own zone first where a whole slot is free.
+  Worker* best(const Request& r, bool big_lane, bool idle_only) {
+    Worker* chosen = nullptr;
+    std::pair<double, double> top{};
+    double drawn = 0;
+    for (auto& [id, w] : workers) {
+      if (w.big_lane != big_lane) continue;
+      const double free = room(w);
+      if (free < kRoom * r.slots || !may_take(w, r)) continue;
+      if (idle_only && (w.out > 0 || others(w) >= kRoom)) continue;
+      const double near = w.info.zone == set.zone && free >= r.slots ? 1 : 0;
+      const std::pair<double, double> rank{near * 1000 + free * speed(w), -w.out};
+      const double draw = uniform();
+      if (chosen == nullptr || rank > top || (rank == top && draw > drawn))
+        chosen = &w, top = rank, drawn = draw;
+    }
+    return chosen;
+  }
+
+  // The own lane first. Small jobs may use a big-lane worker with room, big ones a wholly idle small one.
+  Worker* pick(const Request& r) {
+    if (Worker* w = best(r, r.big, false)) return w;
+    return best(r, !r.big, r.big);
+  }
+
+  // ---- send ----
+  void pump() {
+    std::vector<QueueKey> keys;
+    for (const auto& [key, queue] : queues) keys.push_back(key);
+    std::stable_partition(keys.begin(), keys.end(), [](auto& k) { return !k.zone.empty() || k.group >= 0; });
+    for (const auto& key : keys) {
+      while (queues.contains(key)) {
+        Request& r = requests.at(queues[key].begin()->second);
+        Worker* w = pick(r);
+        if (w != nullptr) send(r, *w);
+        else if (std::get<0>(r.place) > 0 && r.of->late_worth <= 0) give_up(r);
+        else break;
+      }
+    }
+    if (!queues.empty() && !pump_due) {
+      pump_due = true;
+      alarm(now + std::max<Micros>(static_cast<Micros>(mean_run / 8), 4 * set.tick), Why::pump);
+    }
+  }
+
+  Micros start_limit(const Worker& w) {  // a free slot shows by then: handshakes take up to three round trips
+    const auto least = start_delay.find(w.info.zone);
+    const Micros usual = least == start_delay.end() ? set.connect_timeout / 4 : least->second;
+    return 4 * usual + 2 * set.tick;
+  }
+
+  void send(Request& r, Worker& w) {
+    unhold(r);
+    Kind& kind = kind_of(w);
+    if (set.tells_start && kind.slots - others(w) - w.out < kRoom) kind.next_trial = now + kSlotTrial;
+    Attempt a;
+    a.worker = w.info.id, a.zone = w.info.zone, a.group = w.info.group, a.sent = now;
+    r.attempts.push_back(a);
+    w.out += r.slots, ++w.attempts, ++w.unstarted;
+    if (w.reported) *w.reported -= r.slots;
+    if (cold(w)) w.sent.emplace_back(now, r.work);
+    out->push_back(Send{r.id, w.info.id, 0});
+    if (set.tells_start)
+      alarm(now + start_limit(w), Why::overdue, r.id, static_cast<int>(r.attempts.size()) - 1);
+  }
+
+  // ---- outcome ----
+  const Attempt* may_have_run(const Request& r) const {  // the earliest such attempt
+    for (const auto& a : r.attempts)
+      if (!a.never_ran) return &a;
+    return nullptr;
+  }
+
+  // Rule 2: who may be sent again. Keyed repeats only while the group still remembers the earliest.
+  bool may_resend(const Request& r) const {
+    if (static_cast<int>(r.attempts.size()) >= set.max_attempts) return false;
+    const Attempt* first = may_have_run(r);
+    if (first == nullptr || r.of->effect == Effect::safe) return true;
+    return r.of->effect == Effect::keyed && now <= first->sent + r.of->memory - set.tick;
+  }
+
+  bool may_refuse(const Request& r) const {
+    if (r.of->effect == Effect::safe || may_have_run(r) == nullptr) return true;
+    return r.of->effect == Effect::keyed && r.of->scope == Scope::all;
+  }
+
+  void answered(Request& r) {  // cancels what is still out; the entry stays until all attempts have ended
+    unhold(r);
+    r.answered = true;
+    for (std::size_t i = 0; i < r.attempts.size(); ++i)
+      if (r.attempts[i].out && set.may_cancel) out->push_back(Cancel{r.id, static_cast<int>(i)});
+    forget(r);
+  }
+
+  void forget(Request& r) {
+    if (r.answered && std::none_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; }))
+      requests.erase(r.id);
+  }
+
+  void give_up(Request& r) {
+    if (may_refuse(r)) out->push_back(Refuse{r.id, set.may_hold_off ? set.max_hold_off : 0});
+    else out->push_back(Fail{r.id});
+    answered(r);
+  }
+
+  void judge(Worker& w) {
+    w.judged_until = now + (kFirstTrial << std::min(w.strikes++, kTrialDoublings));
+    set_lanes();
+  }
+
+  void learn_outcome(Worker& w, const Request& r, const Attempt& a, Result result) {
+    if (result == Result::ok) {
+      w.strikes = 0, w.judged_until = 0;
+      if (w.cap > 0) w.cap += 1;
+      if (a.seen_start && r.work > 0) learn_speed(w, r.work, static_cast<double>(now - a.started));
+    } else if (result == Result::full) {
+      see_full(w);
+      w.cap = std::max(1.0, w.out);
+      see_others(w, kind_of(w).slots);
+    } else if (result == Result::no_connection || result == Result::broken) {
+      w.unreachable = true;
+      judge(w);
+    }
+  }
+
+  void on(const Outcome& o) {
+    auto [r, found] = attempt(o.id, o.attempt);
+    if (found == nullptr) return;
+    Attempt& a = *found;
+    Worker& w = workers[a.worker];
+    a.out = false;
+    w.out -= r->slots, --w.attempts;
+    if (a.seen_start) w.running -= r->slots;
+    else --w.unstarted, w.late_starts -= a.late_start ? 1 : 0;
+    a.never_ran =
+        o.result == Result::full || o.result == Result::no_connection || o.result == Result::never_sent;
+    learn_outcome(w, *r, a, o.result);
+    learn_report(w, o.report);
+    if (o.finished && !r->answered) answered(*r);
+    else if (r->answered) forget(*r);
+    else go_on(*r);
+  }
+
+  // An attempt has ended without an answer: another if the rules and the time allow, else the final answer.
+  void go_on(Request& r) {
+    if (r.held || std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; })) return;
+    if (now >= r.deadline || !may_resend(r)) give_up(r);
+    else hold(r);
+  }
+
+  void on(const ClientLeft& e) {
+    if (auto* r = find(e.id); r != nullptr && !r->answered) answered(*r);
+  }
+
+  // ---- time-out ----
+  void on(const TimerFired& e) {
+    const auto found = alarms.find(e.token);
+    if (found == alarms.end()) return;
+    const Alarm a = found->second;
+    alarms.erase(found);
+    if (a.why == Why::pump) pump_due = false;
+    if (a.why == Why::ask) asking = false, out->push_back(Subscribe{});
+    auto* r = find(a.id);
+    if (r == nullptr || r->answered) return;
+    if (a.why == Why::deadline) deadline(*r);
+    if (a.why == Why::hopeless) hopeless(*r);
+    if (a.why == Why::overdue) overdue(*r, a.attempt);
+    if (a.why == Why::silence) silence(*r, a.attempt);
+  }
+
+  // Rule 1: what is held gets its answer just before the time is up, what is out just after it at the
+  // latest.
+  void deadline(Request& r) {
+    const bool is_out = std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; });
+    if (now < r.deadline && is_out) return alarm(r.deadline, Why::deadline, r.id);
+    give_up(r);
+  }
+
+  // Held past the last moment that could make the aim: behind all that can still be in time.
+  void hopeless(Request& r) {
+    if (!r.held || std::get<0>(r.place) > 0) return;
+    unhold(r);
+    hold(r);
+  }
+
+  // Sent and not started though a free slot would have taken it at once: others use that worker.
+  void overdue(Request& r, int number) {
+    Attempt& a = r.attempts[static_cast<std::size_t>(number)];
+    if (!a.out || a.seen_start || a.late_start) return;
+    Worker& w = workers[a.worker];
+    a.late_start = true, ++w.late_starts;
+    see_others(w, std::max(0.0, kind_of(w).slots - w.running));
+  }
+
+  // Runs and has said nothing for several progress periods: hung, dead or standing still.
+  void silence(Request& r, int number) {
+    Attempt& a = r.attempts[static_cast<std::size_t>(number)];
+    if (!a.out) return;
+    if (now < a.heard + quiet_limit()) return alarm(a.heard + quiet_limit(), Why::silence, r.id, number);
+    judge(workers[a.worker]);
+  }
 };
 
 Dispatcher::Dispatcher() = default;
@@ -598,20 +558,13 @@
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
 
 void Dispatcher::handle(Micros now, const Event& event, std::vector<Action>& out) {
-    if (std::holds_alternative<Start>(event)) state_ = std::make_unique<State>();
-    if (std::holds_alternative<Stop>(event)) state_.reset();
-    if (!state_) return;
-    State& s = *state_;
-    s.now = now, s.out = &out;
-    if (const auto* e = std::get_if<Start>(&event)) s.start(e->settings);
-    if (const auto* e = std::get_if<WorkerList>(&event)) s.list(*e);
-    if (const auto* e = std::get_if<Arrival>(&event)) s.arrive(*e);
-    if (const auto* e = std::get_if<Outcome>(&event)) s.outcome(*e);
-    if (const auto* e = std::get_if<Started>(&event)) s.started(e->id, e->attempt);
-    if (const auto* e = std::get_if<Progress>(&event)) s.progress(*e);
-    if (const auto* e = std::get_if<ClientLeft>(&event)) s.client_left(e->id);
-    if (const auto* e = std::get_if<TimerFired>(&event)) s.fired(e->token);
-    s.pump();
+  if (std::holds_alternative<Start>(event)) state_ = std::make_unique<State>();
+  if (std::holds_alternative<Stop>(event)) state_.reset();
+  if (!state_) return;
+  State& s = *state_;
+  s.now = now, s.out = &out;
+  std::visit([&s](const auto& e) { s.on(e); }, event);
+  s.pump();
 }
 
 }  // namespace woadridge
--- a/src/decide.h
+++ b/src/decide.h
@@ -15,170 +15,170 @@
 using RequestId = std::uint64_t;
 using WorkerId = std::string;
 
-enum class Effect { safe, keyed, unsafe };                // may a request be repeated?
-enum class Scope { all, zone, group };                    // which workers drop a keyed repeat
-enum class ReportSource { none, answers, probes };        // how load reports reach the dispatcher
-enum class ListMode { pushed, asked };                    // how the list of workers reaches it
-enum class Phase { serving, draining, gone };             // a worker's state in the list
+enum class Effect { safe, keyed, unsafe };                  // may a request be repeated?
+enum class Scope { all, zone, group };                      // which workers drop a keyed repeat
+enum class ReportSource { none, answers, probes };          // how load reports reach the dispatcher
+enum class ListMode { pushed, asked };                      // how the list of workers reaches it
+enum class Phase { serving, draining, gone };               // a worker's state in the list
 enum class ListKind { changes, full, remembered, failed };  // what a list event holds
 enum class Result { ok, error, full, timed_out, no_connection, broken, cancelled, never_sent };
 
 struct ClassSettings {
-    std::string name;
-    Effect effect = Effect::safe;
-    Scope scope = Scope::all;
-    Micros memory = 0;        // how long the group remembers a key, from the earliest send
-    Micros aim = 0;           // full worth up to here ...
-    double stretch = 0;       // ... plus so many times the request's own work
-    Micros deadline = 0;      // the client's whole patience
-    double late_worth = 0;    // share of the worth earned after the aim
-    double worth = 1;
-    std::string worker_kind;  // the only kind that can run it; empty: any
-    bool streamed = false;
+  std::string name;
+  Effect effect = Effect::safe;
+  Scope scope = Scope::all;
+  Micros memory = 0;      // how long the group remembers a key, from the earliest send
+  Micros aim = 0;         // full worth up to here ...
+  double stretch = 0;     // ... plus so many times the request's own work
+  Micros deadline = 0;    // the client's whole patience
+  double late_worth = 0;  // share of the worth earned after the aim
+  double worth = 1;
+  std::string worker_kind;  // the only kind that can run it; empty: any
+  bool streamed = false;
 };
 
 struct TenantSettings {
-    std::string name;
-    double share = 0;        // its part of the service
-    double quota_per_s = 0;  // its requests per second over all dispatchers
+  std::string name;
+  double share = 0;        // its part of the service
+  double quota_per_s = 0;  // its requests per second over all dispatchers
 };
 
 struct Settings {
-    std::uint64_t seed = 0;
-    int fleet_size = 1;  // how many dispatchers share the workers
-    std::string zone;
-    std::vector<ClassSettings> classes;
-    std::vector<TenantSettings> tenants;
-    double over_share_worth = 1;
-    ListMode list_mode = ListMode::pushed;
-    ReportSource reports = ReportSource::none;
-    bool tells_start = false;  // workers say when a job starts
-    Micros progress_every = 0;  // and how far it is; 0: never
-    Micros tick = 0;            // the least time between two events
-    int max_attempts = 1;
-    bool may_cancel = false;
-    bool may_probe = false;
-    bool may_copy = false;  // two attempts of one request may be out together
-    bool may_hold_off = false;
-    Micros max_hold_off = 0;
-    Micros connect_timeout = 0;
-    Micros drain_grace = 0;
-    Micros must_ask_in = 0;  // asked lists: older news count as told; 0: never
-    double cold_from = 1;    // a started worker has at least this share of its capacity
-    Micros warm_after = 0;   // and is warm after this long
-    double overload_factor = 0;
-    Micros overload_span = 0;
+  std::uint64_t seed = 0;
+  int fleet_size = 1;  // how many dispatchers share the workers
+  std::string zone;
+  std::vector<ClassSettings> classes;
+  std::vector<TenantSettings> tenants;
+  double over_share_worth = 1;
+  ListMode list_mode = ListMode::pushed;
+  ReportSource reports = ReportSource::none;
+  bool tells_start = false;   // workers say when a job starts
+  Micros progress_every = 0;  // and how far it is; 0: never
+  Micros tick = 0;            // the least time between two events
+  int max_attempts = 1;
+  bool may_cancel = false;
+  bool may_probe = false;
+  bool may_copy = false;  // two attempts of one request may be out together
+  bool may_hold_off = false;
+  Micros max_hold_off = 0;
+  Micros connect_timeout = 0;
+  Micros drain_grace = 0;
+  Micros must_ask_in = 0;  // asked lists: older news count as told; 0: never
+  double cold_from = 1;    // a started worker has at least this share of its capacity
+  Micros warm_after = 0;   // and is warm after this long
+  double overload_factor = 0;
+  Micros overload_span = 0;
 };
 
 struct Report {  // a worker's word on its load: late and a little noisy
-    std::optional<double> free_slots;
-    std::optional<double> busy_share;
+  std::optional<double> free_slots;
+  std::optional<double> busy_share;
 };
 
 struct WorkerInfo {
-    WorkerId id;
-    std::string kind;
-    std::string zone;
-    std::int64_t group = 0;
-    double size = 1;
-    Micros started = 0;  // time of the last start; 0: long ago
-    Phase phase = Phase::serving;
+  WorkerId id;
+  std::string kind;
+  std::string zone;
+  std::int64_t group = 0;
+  double size = 1;
+  Micros started = 0;  // time of the last start; 0: long ago
+  Phase phase = Phase::serving;
 };
 
 struct Start {
-    Settings settings;
+  Settings settings;
 };
 struct Stop {};  // killed: everything is forgotten
 struct WorkerList {
-    ListKind kind = ListKind::full;
-    std::vector<WorkerInfo> workers;
+  ListKind kind = ListKind::full;
+  std::vector<WorkerInfo> workers;
 };
 struct Arrival {
-    RequestId id = 0;
-    std::string class_name;
-    std::string tenant;
-    Micros time_left = 0;  // until the client gives this try up
-    std::optional<Micros> hint;  // expected work, on a standard core
-    double slots = 1;
-    bool repeated = false;  // the client says that it has asked before
+  RequestId id = 0;
+  std::string class_name;
+  std::string tenant;
+  Micros time_left = 0;        // until the client gives this try up
+  std::optional<Micros> hint;  // expected work, on a standard core
+  double slots = 1;
+  bool repeated = false;  // the client says that it has asked before
 };
 struct Outcome {
-    RequestId id = 0;
-    int attempt = 0;
-    WorkerId worker;
-    Result result = Result::ok;
-    bool finished = false;  // the client has its final answer
-    Report report;
+  RequestId id = 0;
+  int attempt = 0;
+  WorkerId worker;
+  Result result = Result::ok;
+  bool finished = false;  // the client has its final answer
+  Report report;
 };
 struct Started {
-    RequestId id = 0;
-    int attempt = 0;
+  RequestId id = 0;
+  int attempt = 0;
 };
 struct Progress {
-    RequestId id = 0;
-    int attempt = 0;
-    double done = 0;  // share of the job
+  RequestId id = 0;
+  int attempt = 0;
+  double done = 0;  // share of the job
 };
 struct StreamBegun {
-    RequestId id = 0;
-    int attempt = 0;
+  RequestId id = 0;
+  int attempt = 0;
 };
 struct ClientLeft {
-    RequestId id = 0;
+  RequestId id = 0;
 };
 struct Probed {
-    WorkerId worker;
-    Micros age = 0;
-    bool ok = false;
-    Report report;
+  WorkerId worker;
+  Micros age = 0;
+  bool ok = false;
+  Report report;
 };
 struct TimerFired {
-    std::uint64_t token = 0;
+  std::uint64_t token = 0;
 };
-using Event = std::variant<Start, Stop, WorkerList, Arrival, Outcome, Started, Progress, StreamBegun, ClientLeft,
-                           Probed, TimerFired>;
+using Event = std::variant<Start, Stop, WorkerList, Arrival, Outcome, Started, Progress, StreamBegun,
+                           ClientLeft, Probed, TimerFired>;
 
 struct Send {
-    RequestId id = 0;
-    WorkerId worker;
-    Micros timeout = 0;  // 0: until the client gives up
+  RequestId id = 0;
+  WorkerId worker;
+  Micros timeout = 0;  // 0: until the client gives up
 };
 struct Refuse {
-    RequestId id = 0;
-    Micros hold_off = 0;  // 0: no advice
+  RequestId id = 0;
+  Micros hold_off = 0;  // 0: no advice
 };
 struct Fail {
-    RequestId id = 0;
+  RequestId id = 0;
 };
 struct Cancel {
-    RequestId id = 0;
-    int attempt = 0;
+  RequestId id = 0;
+  int attempt = 0;
 };
 struct Probe {
-    WorkerId worker;
+  WorkerId worker;
 };
 struct Subscribe {};
 struct SetTimer {
-    Micros at = 0;
-    std::uint64_t token = 0;
+  Micros at = 0;
+  std::uint64_t token = 0;
 };
 struct Remark {
-    std::string text;
+  std::string text;
 };
 using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Subscribe, SetTimer, Remark>;
 
 class Dispatcher {
-   public:
-    Dispatcher();
-    ~Dispatcher();
-    Dispatcher(Dispatcher&&) noexcept;
-    Dispatcher& operator=(Dispatcher&&) noexcept;
-    // Takes one event at its time and appends what is to be done about it.
-    void handle(Micros now, const Event& event, std::vector<Action>& out);
+ public:
+  Dispatcher();
+  ~Dispatcher();
+  Dispatcher(Dispatcher&&) noexcept;
+  Dispatcher& operator=(Dispatcher&&) noexcept;
+  // Takes one event at its time and appends what is to be done about it.
+  void handle(Micros now, const Event& event, std::vector<Action>& out);
 
-   private:
-    struct State;
-    std::unique_ptr<State> state_;
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
 };
 
 }  // namespace woadridge
--- /dev/null
+++ b/src/records.h
@@ -0,0 +1,75 @@
+// What one dispatcher remembers: plain records, no decisions. Those are all in src/decide.cpp.
+#pragma once
+
+#include <compare>
+#include <deque>
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "decide.h"
+
+namespace woadridge {
+
+struct Kind {  // what all workers of one kind and size have shown
+  double slots = 1, work = 0, time = 0;
+  Micros next_trial = 0;
+};
+
+struct Worker {
+  WorkerInfo info;
+  std::uint64_t hash = 0;
+  bool big_lane = false;
+  double out = 0, running = 0;  // own slots sent there, and of these seen to start
+  int attempts = 0;             // own attempts out there
+  int unstarted = 0;            // own attempts sent and not seen to start
+  int late_starts = 0;          // of these, how many should have started by now
+  double others = 0;            // slots in use by others, as seen at `others_at`
+  Micros others_at = 0;
+  double cap = 0;                  // own slots allowed since it answered full; 0: no cap
+  std::optional<double> reported;  // free slots by the last report, less own sends since
+  double work = 0, time = 0;       // of own finished jobs, for its speed
+  Micros judged_until = 0;         // no work before
+  int strikes = 0;                 // judgements since its last good answer
+  bool unreachable = false;        // refused a connection or broke one since its last sign of life
+  std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
+};
+
+struct Attempt {
+  WorkerId worker;
+  std::string zone;
+  std::int64_t group = 0;
+  Micros sent = 0, started = 0, heard = 0;
+  bool out = true, seen_start = false, late_start = false, never_ran = false;
+};
+
+struct QueueKey {  // requests that can use the same workers in the same order wait in one queue
+  bool big = false;
+  std::string kind, zone;
+  std::int64_t group = -1;
+  auto operator<=>(const QueueKey&) const = default;
+};
+
+// Order within a queue: rank (0: can be in time), then hint (big lane only), then arrival.
+using QueuePlace = std::tuple<int, Micros, std::uint64_t>;
+
+struct Request {
+  RequestId id = 0;
+  const ClassSettings* of = nullptr;
+  Micros arrived = 0, due = 0, deadline = 0;
+  double work = 0, slots = 1;
+  std::uint64_t arrival = 0;
+  bool big = false, answered = false, held = false;
+  QueueKey queue;
+  QueuePlace place;
+  std::vector<Attempt> attempts;
+};
+
+enum class Why { deadline, overdue, silence, hopeless, pump, ask };
+struct Alarm {
+  Why why;
+  RequestId id = 0;
+  int attempt = 0;
+};
+
+}  // namespace woadridge
