--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -257,6 +257,7 @@
     r.arrival = ++arrivals;
     r.work = a.hint ? static_cast<double>(*a.hint) : mean_run;
     if (a.hint) learn_hint(*a.hint);
+    if (mean_run <= 0) mean_run = r.work;
     r.big = threshold > 0 && a.hint && static_cast<double>(*a.hint) > threshold;
     // A shorter time than a first try's tells a repeat, and how long ago its client first asked.
     auto& longest = longest_ttl[a.class_name];
@@ -279,7 +280,8 @@
 
   void hold(Request& r) {
     r.queue = {r.big, r.of->worker_kind, "", -1};
-    if (const Attempt* first = may_have_run(r); first != nullptr && r.of->effect == Effect::keyed) {
+    const Attempt* first = may_have_run(r);
+    if (first != nullptr && r.of->effect == Effect::keyed) {
       if (r.of->scope == Scope::zone) r.queue.zone = first->zone;
       if (r.of->scope == Scope::group) r.queue.group = first->group;
     }
@@ -289,6 +291,8 @@
     r.place = {late ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
     queues[r.queue][r.place] = r.id;
     r.held = true;
+    if (r.of->effect == Effect::keyed && first != nullptr)
+      alarm(first->sent + r.of->memory, Why::hopeless, r.id);
     if (!late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
   }
 
@@ -368,9 +372,12 @@
     return chosen;
   }
 
-  // The own lane first. Small jobs may use a big-lane worker with room, big ones a wholly idle small one.
+  // The own lane first. Small jobs may use a big-lane worker with room that no big job waits for, big ones a
+  // wholly idle small-lane one.
   Worker* pick(const Request& r) {
     if (Worker* w = best(r, r.big, false)) return w;
+    if (!r.big && std::any_of(queues.begin(), queues.end(), [](auto& q) { return q.first.big; }))
+      return nullptr;
     return best(r, !r.big, r.big);
   }
 
@@ -383,7 +390,8 @@
       while (queues.contains(key)) {
         Request& r = requests.at(queues[key].begin()->second);
         Worker* w = pick(r);
-        if (w != nullptr) send(r, *w);
+        if (!may_resend(r)) give_up(r);
+        else if (w != nullptr) send(r, *w);
         else if (std::get<0>(r.place) > 0 && r.of->late_worth <= 0) give_up(r);
         else break;
       }
@@ -463,7 +471,9 @@
     if (result == Result::ok) {
       w.strikes = 0, w.judged_until = 0;
       if (w.cap > 0) w.cap += 1;
-      if (a.seen_start && r.work > 0) learn_speed(w, r.work, static_cast<double>(now - a.started));
+      // A repeat may go on from saved work, and would pass for speed.
+      if (a.seen_start && r.work > 0 && r.attempts.size() == 1)
+        learn_speed(w, r.work, static_cast<double>(now - a.started));
     } else if (result == Result::full) {
       see_full(w);
       w.cap = std::max(1.0, w.out);
@@ -527,8 +537,10 @@
     give_up(r);
   }
 
-  // Held past the last moment that could make the aim: behind all that can still be in time.
+  // Held past the last moment that could make the aim: behind all that can still be in time. Held past the
+  // memory of its group: nobody may take the repeat any more.
   void hopeless(Request& r) {
+    if (r.held && !may_resend(r)) return give_up(r);
     if (!r.held || std::get<0>(r.place) > 0) return;
     unhold(r);
     hold(r);
--- /dev/null
+++ b/tests/decide_test.cpp
@@ -0,0 +1,604 @@
+#include "decide.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "rig.h"
+
+namespace woadridge::test {
+namespace {
+
+std::vector<WorkerInfo> boxes(int n) {
+  std::vector<WorkerInfo> list;
+  for (int i = 0; i < n; ++i) list.push_back(worker("w" + std::to_string(i)));
+  return list;
+}
+
+// Twenty small hints and one large: d lies between them from the thirty-second arrival on.
+void warm_up(Rig& rig, int jobs = 32, Micros hint = 100 * kMs) {
+  for (int i = 0; i < jobs; ++i) rig.serve(rig.ask("safe", hint));
+}
+
+// The workers that take big jobs first: sent there while all are idle.
+WorkerId big_lane_of(Rig& rig) {
+  const auto id = rig.ask("safe", 900 * kMs);
+  const auto to = rig.sent_to(id).at(0);
+  rig.serve(id, 900 * kMs);
+  return to;
+}
+
+// ---- rule 1: no request lost ----
+
+TEST(NoRequestLost, HeldWithoutWorkersIsAnsweredInsideItsTime) {
+  Rig rig(plain_settings());
+  const auto id = rig.ask();
+  EXPECT_EQ(rig.count<Refuse>(id), 0);
+  rig.pass(5 * kSecond);
+  EXPECT_EQ(rig.count<Refuse>(id), 1);
+  rig.pass(20 * kSecond);
+  EXPECT_EQ(rig.count<Refuse>(id) + rig.count<Fail>(id), 1);
+}
+
+TEST(NoRequestLost, OutAtTheDeadlineGetsItsAnswerThereAndNothingAfter) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  const auto id = rig.ask("keyed-zone");
+  ASSERT_EQ(rig.sends(id).size(), 1u);
+  rig.pass(5 * kSecond - 1);
+  EXPECT_EQ(rig.count<Fail>(id), 0);
+  rig.pass(2 * kMs);
+  EXPECT_EQ(rig.count<Fail>(id), 1);
+  rig.end(id, Result::timed_out);
+  rig.pass(20 * kSecond);
+  EXPECT_EQ(rig.count<Fail>(id) + rig.count<Refuse>(id), 1);
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+}
+
+TEST(NoRequestLost, NextToNoTimeLeftIsStillAnsweredOnce) {
+  Rig rig(plain_settings());
+  const auto id = rig.ask("safe", 100 * kMs, 1);
+  rig.pass(3 * kMs);
+  EXPECT_EQ(rig.count<Refuse>(id), 1);
+}
+
+TEST(NoRequestLost, LateNewsOfAnAnsweredRequestChangesNothing) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  const auto id = rig.ask();
+  rig.serve(id);
+  const auto before = rig.log.size();
+  rig.end(id, Result::broken);
+  rig.give(Started{id, 0});
+  rig.give(Progress{id, 0, 0.5});
+  rig.give(ClientLeft{id});
+  rig.give(TimerFired{123456});
+  rig.pass(10 * kSecond);
+  EXPECT_EQ(rig.count<Send>(id), 1);
+  EXPECT_EQ(rig.count<Refuse>(id) + rig.count<Fail>(id), 0);
+  EXPECT_LE(rig.log.size(), before + 1);
+}
+
+TEST(NoRequestLost, AClientThatLeftIsOwedNothing) {
+  Rig rig(plain_settings());
+  const auto id = rig.ask();
+  rig.give(ClientLeft{id});
+  rig.workers(boxes(2));
+  rig.pass(10 * kSecond);
+  EXPECT_EQ(rig.count<Send>(id) + rig.count<Refuse>(id) + rig.count<Fail>(id), 0);
+}
+
+// ---- rule 2: no doubled effect ----
+
+TEST(NoDoubledEffect, UnsafeGoesOutAgainOnlyAfterProofThatItNeverRan) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  const auto proven = rig.ask("unsafe");
+  rig.end(proven, Result::full);
+  EXPECT_EQ(rig.sends(proven).size(), 2u);
+  const auto unproven = rig.ask("unsafe");
+  rig.end(unproven, Result::error);
+  rig.pass(10 * kSecond);
+  EXPECT_EQ(rig.sends(unproven).size(), 1u);
+  EXPECT_EQ(rig.count<Refuse>(unproven), 0);
+  EXPECT_EQ(rig.count<Fail>(unproven), 1);
+}
+
+TEST(NoDoubledEffect, KeyedRepeatsStayInTheGroupThatMayHaveSeenThem) {
+  for (int seed = 1; seed < 20; ++seed) {
+    auto settings = plain_settings();
+    settings.seed = static_cast<std::uint64_t>(seed);
+    Rig rig(settings);
+    rig.workers({worker("a1", "a", 1), worker("a2", "a", 1), worker("a3", "a", 2), worker("b1", "b", 3),
+                 worker("b2", "b", 3), worker("b3", "b", 4)});
+    const std::map<WorkerId, int> group{{"a1", 1}, {"a2", 1}, {"a3", 2}, {"b1", 3}, {"b2", 3}, {"b3", 4}};
+    const auto by_zone = rig.ask("keyed-zone");
+    const auto by_group = rig.ask("keyed-group");
+    rig.end(by_zone, Result::error);
+    rig.end(by_group, Result::error);
+    rig.pass(kSecond);
+    for (const auto& to : rig.sent_to(by_zone)) EXPECT_EQ(to[0], rig.sent_to(by_zone)[0][0]);
+    for (const auto& to : rig.sent_to(by_group)) EXPECT_EQ(group.at(to), group.at(rig.sent_to(by_group)[0]));
+    EXPECT_GE(rig.sends(by_zone).size(), 2u);
+  }
+}
+
+TEST(NoDoubledEffect, KeyedThatNeverRanMayGoAnywhere) {
+  Rig rig(plain_settings());
+  rig.workers({worker("a1", "a", 1), worker("b1", "b", 2)});
+  const auto id = rig.ask("keyed-group");
+  rig.end(id, Result::full);
+  ASSERT_EQ(rig.sends(id).size(), 2u);
+  EXPECT_NE(rig.sent_to(id)[0], rig.sent_to(id)[1]);
+}
+
+TEST(NoDoubledEffect, PastTheGroupsMemoryAKeyedRequestFailsWithoutAPromise) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  const auto id = rig.ask("keyed-group");
+  rig.pass(3 * kSecond - kMs);  // memory counts from the send and includes the tick that a send may take
+  rig.end(id, Result::error);
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+  EXPECT_EQ(rig.count<Fail>(id), 1);
+  EXPECT_EQ(rig.count<Refuse>(id), 0);
+}
+
+TEST(NoDoubledEffect, HeldRepeatIsNotSentOnceTheMemoryHasPassed) {
+  Rig rig(plain_settings());
+  rig.workers({worker("a1", "a", 1)});
+  const auto id = rig.ask("keyed-group");
+  rig.pass(kSecond);
+  rig.workers({worker("b1", "b", 2)});  // the group is gone: nothing can take the repeat
+  rig.end(id, Result::error);
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+  rig.pass(2500 * kMs);
+  rig.workers({worker("a1", "a", 1), worker("b1", "b", 2)});
+  rig.pass(5 * kSecond);
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+  EXPECT_EQ(rig.count<Fail>(id), 1);
+}
+
+TEST(NoDoubledEffect, KeyedWithGroupAllMayBeRefusedAfterItMayHaveRun) {
+  auto settings = plain_settings();
+  settings.max_attempts = 1;
+  Rig rig(settings);
+  rig.workers(boxes(2));
+  const auto id = rig.ask("keyed-all");
+  rig.end(id, Result::error);
+  EXPECT_EQ(rig.count<Refuse>(id), 1);
+}
+
+TEST(NoDoubledEffect, NeverMoreThanTheAttemptsAllowed) {
+  auto settings = plain_settings();
+  settings.max_attempts = 2;
+  Rig rig(settings);
+  rig.workers(boxes(4));
+  const auto id = rig.ask();
+  rig.end(id, Result::error, 0);
+  rig.end(id, Result::error, 1);
+  EXPECT_EQ(rig.sends(id).size(), 2u);
+  EXPECT_EQ(rig.count<Refuse>(id), 1);
+}
+
+// ---- rule 3: drains ----
+
+TEST(DrainsKept, NothingNewOnceTold) {
+  Rig rig(plain_settings());
+  auto list = boxes(2);
+  rig.workers(list);
+  list[0].phase = Phase::draining;
+  rig.workers({list[0]}, ListKind::changes);
+  for (int i = 0; i < 10; ++i) {
+    const auto id = rig.ask();
+    EXPECT_EQ(rig.sent_to(id), std::vector<WorkerId>{"w1"});
+    rig.serve(id);
+  }
+}
+
+TEST(DrainsKept, AbsentFromAFullListIsGone) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  rig.workers({worker("w1")});
+  const auto id = rig.ask();
+  EXPECT_EQ(rig.sent_to(id), std::vector<WorkerId>{"w1"});
+}
+
+TEST(DrainsKept, HeldForADrainingWorkerIsAnsweredHonestly) {
+  Rig rig(plain_settings());
+  auto list = boxes(1);
+  list[0].phase = Phase::draining;
+  rig.workers(list);
+  const auto id = rig.ask();
+  rig.pass(6 * kSecond);
+  EXPECT_EQ(rig.sends(id).size(), 0u);
+  EXPECT_EQ(rig.count<Refuse>(id), 1);
+}
+
+// ---- rule 4: cold workers ----
+
+double work_taken_in_a_second(int fleet, Micros hint) {
+  auto settings = plain_settings();
+  settings.fleet_size = fleet;
+  Rig rig(settings);
+  rig.workers({worker("warm")});
+  for (int i = 0; i < 40; ++i) rig.serve(rig.ask("safe", hint), hint);  // speed 1, one slot
+  rig.pass(5 * kSecond);
+  auto fresh = worker("cold");
+  fresh.started = rig.now;
+  rig.workers({fresh});
+  double work = 0;
+  for (int i = 0; i < 200; ++i) {  // each job served in no time: only the budget holds them back
+    const auto id = rig.ask("safe", hint);
+    if (!rig.sends(id).empty()) {
+      work += static_cast<double>(hint);
+      rig.end(id, Result::ok);  // without a start note: it teaches no speed
+    }
+    rig.now += 4 * kMs;
+  }
+  return work / static_cast<double>(kSecond);
+}
+
+TEST(ColdWorker, GetsThisDispatchersPartOfTheBudgetAndSomeOfItEarly) {
+  const double alone = work_taken_in_a_second(1, 20 * kMs);
+  EXPECT_LE(alone, 3 * 0.5 * 1.0);  // factor x cold share x one second on one slot of speed 1
+  EXPECT_GT(alone, 0.5);
+  const double of_four = work_taken_in_a_second(4, 20 * kMs);
+  EXPECT_LE(of_four, 3 * 0.5 / 4);
+  EXPECT_GT(of_four, 0);
+}
+
+TEST(ColdWorker, AJobBeyondTheBudgetGoesElsewhere) {
+  EXPECT_EQ(work_taken_in_a_second(8, 400 * kMs), 0);
+}
+
+TEST(ColdWorker, RejectedWorkCountsToo) {
+  auto settings = plain_settings();
+  Rig rig(settings);
+  auto fresh = worker("cold");
+  fresh.started = rig.now - kMs;
+  rig.now += 2 * kSecond;
+  rig.workers({fresh});
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    const auto id = rig.ask("unsafe", 50 * kMs);
+    if (rig.sends(id).empty()) continue;
+    ++sent;
+    rig.end(id, Result::never_sent, 0, true);
+  }
+  EXPECT_GT(sent, 0);
+  EXPECT_LE(sent * 0.05, 3 * 0.6);
+}
+
+TEST(ColdWorker, AfterAnOwnRestartTheBudgetIsTakenAsSpent) {
+  Rig rig(plain_settings());
+  auto cold = worker("cold");
+  cold.started = rig.now - 2 * kSecond;
+  rig.workers({cold}, ListKind::remembered);
+  const auto id = rig.ask("safe", 10 * kMs);
+  EXPECT_EQ(rig.sends(id).size(), 0u);
+  rig.pass(kSecond + kMs);
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+}
+
+TEST(ColdWorker, OneThatRefusedConnectionsAndRunsAgainIsColdBeforeTheListSaysSo) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  warm_up(rig, 3, 20 * kMs);
+  const auto lost = rig.ask("unsafe", 20 * kMs);
+  rig.end(lost, Result::no_connection);
+  rig.pass(kSecond);
+  ASSERT_EQ(rig.sends(lost).size(), 2u);
+  rig.give(Started{lost, 1});
+  rig.end(lost, Result::ok, 1);
+  double work = 0;
+  for (int i = 0; i < 200; ++i) {
+    const auto id = rig.ask("safe", 20 * kMs);
+    if (rig.sends(id).empty()) continue;
+    work += 0.02;
+    rig.end(id, Result::ok);
+  }
+  EXPECT_LE(work, 3 * 0.5);
+}
+
+// ---- the split ----
+
+TEST(Split, AllJobsAreSmallUntilTwentyHintsAreSeen) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(4));
+  std::set<WorkerId> used;
+  for (int i = 0; i < 15; ++i) {
+    const auto id = rig.ask("safe", i % 2 == 0 ? 10 * kMs : 800 * kMs);
+    used.insert(rig.sent_to(id).at(0));
+    rig.serve(id);
+  }
+  warm_up(rig, 200, 850 * kMs);
+  EXPECT_FALSE(used.contains(big_lane_of(rig)));
+}
+
+TEST(Split, AboveDGoesToTheBigLaneAndTheRestToTheOthers) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(4));
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  for (int i = 0; i < 5; ++i) {  // before d is computed anew
+    const auto big = rig.ask("safe", 900 * kMs);
+    EXPECT_EQ(rig.sent_to(big).at(0), lane);
+    const auto small = rig.ask("safe", 100 * kMs);
+    EXPECT_NE(rig.sent_to(small).at(0), lane);
+    rig.serve(small);
+    rig.serve(big);
+  }
+}
+
+TEST(Split, TheLaneIsTheSameInEveryInstanceAndStaysAsOthersComeAndGo) {
+  auto settings = plain_settings();
+  Rig one(settings);
+  settings.seed = 99;
+  Rig two(settings);
+  auto list = boxes(5);
+  one.workers(list);
+  std::reverse(list.begin(), list.end());
+  two.workers(list);
+  warm_up(one), warm_up(two);
+  const auto lane = big_lane_of(one);
+  EXPECT_EQ(big_lane_of(two), lane);
+  for (const auto& w : list) {
+    if (w.id == lane) continue;
+    auto gone = w;
+    gone.phase = Phase::gone;
+    one.workers({gone}, ListKind::changes);
+    EXPECT_EQ(big_lane_of(one), lane) << w.id << " left";
+    one.workers({w}, ListKind::changes);
+  }
+}
+
+TEST(Split, TheLaneOutlivesItsOnlyWorker) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  auto gone = worker(lane);
+  gone.phase = Phase::draining;
+  rig.workers({gone}, ListKind::changes);
+  const auto next = big_lane_of(rig);
+  EXPECT_NE(next, lane);
+  const auto lost = rig.ask("safe", 900 * kMs);
+  rig.end(lost, Result::broken);
+  ASSERT_EQ(rig.sends(lost).size(), 2u);
+  EXPECT_NE(rig.sent_to(lost)[1], next);
+}
+
+TEST(Split, OneWorkerServesBothLanes) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  warm_up(rig);
+  EXPECT_EQ(big_lane_of(rig), "w0");
+}
+
+TEST(Split, EachNeededKindHasItsOwnBigLane) {
+  auto settings = plain_settings();
+  settings.classes[0].worker_kind = "x";
+  settings.classes[1].worker_kind = "y";
+  Rig rig(settings);
+  auto list = boxes(6);
+  for (std::size_t i = 0; i < list.size(); ++i) list[i].kind = i < 3 ? "x" : "y";
+  rig.workers(list);
+  warm_up(rig);
+  const auto x = rig.ask("safe", 900 * kMs), y = rig.ask("keyed-all", 900 * kMs);
+  EXPECT_LT(rig.sent_to(x).at(0), "w3");
+  EXPECT_GE(rig.sent_to(y).at(0), "w3");
+}
+
+// ---- hold and release ----
+
+TEST(Hold, SmallJobsLeaveInArrivalOrderAndBigOnesShortestFirst) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  const auto other = lane == "w0" ? std::string("w1") : std::string("w0");
+  const auto first_big = rig.ask("safe", 2 * kSecond), first_small = rig.ask("safe", 99 * kMs);
+  ASSERT_EQ(rig.sent_to(first_big).at(0), lane);
+  ASSERT_EQ(rig.sent_to(first_small).at(0), other);
+  rig.pass(kSecond);  // both are seen to wait: no room at either worker
+  const auto small1 = rig.ask("safe", 99 * kMs), small2 = rig.ask("safe", 98 * kMs);
+  const auto big1 = rig.ask("safe", 3 * kSecond), big2 = rig.ask("safe", 1500 * kMs);
+  EXPECT_TRUE(rig.sends(small1).empty() && rig.sends(small2).empty());
+  EXPECT_TRUE(rig.sends(big1).empty() && rig.sends(big2).empty());
+  rig.give(Started{first_small, 0});
+  rig.end(first_small, Result::ok);
+  EXPECT_EQ(rig.sends(small1).size(), 1u);
+  EXPECT_TRUE(rig.sends(small2).empty());
+  rig.end(first_big, Result::ok);
+  EXPECT_EQ(rig.sent_to(big2), std::vector<WorkerId>{lane});
+  EXPECT_TRUE(rig.sends(big1).empty());
+}
+
+TEST(Hold, ALateStartClosesTheWorkerUntilTheJobStarts) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  const auto first = rig.ask();
+  rig.pass(kSecond);
+  const auto second = rig.ask();
+  rig.pass(100 * kMs);
+  EXPECT_TRUE(rig.sends(second).empty());
+  rig.give(Started{first, 0});
+  rig.end(first, Result::ok);
+  EXPECT_EQ(rig.sends(second).size(), 1u);
+}
+
+TEST(Room, WithoutStartNotesReportsCountLessOwnJobsSentSince) {
+  auto settings = plain_settings();
+  settings.tells_start = false;
+  settings.reports = ReportSource::answers;
+  Rig rig(settings);
+  rig.workers(boxes(1));
+  const auto first = rig.ask();
+  Report report;
+  report.free_slots = 2;
+  rig.end(first, Result::ok, 0, true, report);
+  const auto a = rig.ask(), b = rig.ask(), c = rig.ask();
+  EXPECT_EQ(rig.sends(a).size() + rig.sends(b).size(), 2u);
+  EXPECT_TRUE(rig.sends(c).empty());
+}
+
+TEST(Room, WithoutReportsUntilFullThenCappedAtWhatWasOutAndOneMorePerAnswer) {
+  auto settings = plain_settings();
+  settings.tells_start = false;
+  Rig rig(settings);
+  rig.workers(boxes(1));
+  std::vector<RequestId> ids;
+  for (int i = 0; i < 4; ++i) ids.push_back(rig.ask());
+  EXPECT_EQ(rig.sends(ids[3]).size(), 1u);
+  rig.end(ids[3], Result::full);  // three are out: the cap
+  EXPECT_EQ(rig.sends(ids[3]).size(), 1u);
+  rig.end(ids[0], Result::ok);  // two out, cap four: two may go
+  EXPECT_EQ(rig.sends(ids[3]).size(), 2u);
+  const auto next = rig.ask(), beyond = rig.ask();
+  EXPECT_EQ(rig.sends(next).size(), 1u);
+  EXPECT_TRUE(rig.sends(beyond).empty());
+}
+
+TEST(Spill, SmallJobsUseTheBigLaneOnlyWhenTheirOwnHasNoRoom) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  const auto a = rig.ask(), b = rig.ask(), c = rig.ask();
+  EXPECT_NE(rig.sent_to(a).at(0), lane);
+  EXPECT_EQ(rig.sent_to(b).at(0), lane);
+  rig.pass(30 * kMs);
+  EXPECT_TRUE(rig.sends(c).empty());
+}
+
+TEST(Spill, BigJobsUseAWhollyIdleSmallLaneWorkerAndNoOther) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  const auto first = rig.ask("safe", 900 * kMs), second = rig.ask("safe", 900 * kMs);
+  EXPECT_EQ(rig.sent_to(first).at(0), lane);
+  ASSERT_EQ(rig.sends(second).size(), 1u);
+  EXPECT_NE(rig.sent_to(second).at(0), lane);
+}
+
+// ---- the list ----
+
+TEST(List, ASubscriptionIsAskedForAndAgainAfterEachFailureMoreSlowly) {
+  auto settings = plain_settings();
+  settings.list_mode = ListMode::asked;
+  Rig rig(settings);
+  rig.workers(boxes(2), ListKind::remembered);
+  rig.pass(100 * kMs);
+  EXPECT_EQ(rig.count<Subscribe>(), 1);
+  Micros last_wait = 0;
+  for (int i = 0; i < 4; ++i) {
+    rig.give(WorkerList{ListKind::failed, {}});
+    const int before = rig.count<Subscribe>();
+    Micros wait = 0;
+    while (rig.count<Subscribe>() == before && wait < 60 * kSecond) rig.pass(10 * kMs), wait += 10 * kMs;
+    EXPECT_EQ(rig.count<Subscribe>(), before + 1);
+    if (i % 2 == 0) {  // jitter may reach twice the least wait: compare every other one
+      EXPECT_GT(wait, last_wait);
+      last_wait = wait;
+    }
+  }
+  const auto id = rig.ask();
+  EXPECT_EQ(rig.sends(id).size(), 1u);  // the old list stays in force
+}
+
+TEST(List, PushedListsAreNeverAskedFor) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  rig.pass(60 * kSecond);
+  EXPECT_EQ(rig.count<Subscribe>(), 0);
+}
+
+TEST(Judge, ABrokenWorkerIsLeftAloneThenTriedWithOneJob) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  warm_up(rig, 4);
+  const auto lost = rig.ask();
+  const auto bad = rig.sent_to(lost).at(0);
+  rig.end(lost, Result::broken);
+  ASSERT_EQ(rig.sends(lost).size(), 2u);
+  EXPECT_NE(rig.sent_to(lost)[1], bad);
+}
+
+TEST(Judge, WhenMostLookBadNoneIsLeftOut) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  const auto a = rig.ask(), b = rig.ask();
+  rig.end(a, Result::broken, 0, true);
+  rig.end(b, Result::broken, 0, true);
+  const auto id = rig.ask();
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+}
+
+// ---- failures met on the bench ----
+
+// Late starts once raised what others were thought to use for good: jobs were refused beside free workers.
+TEST(Failure, RefusedBesideFreeWorkers) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  warm_up(rig, 5);
+  for (int i = 0; i < 10; ++i) {  // ten late starts in a row
+    const auto id = rig.ask();
+    rig.pass(400 * kMs);
+    ASSERT_EQ(rig.sends(id).size(), 1u) << i;
+    rig.give(Started{id, 0});
+    rig.now += 100 * kMs;
+    rig.end(id, Result::ok);
+    rig.pass(200 * kMs);
+  }
+}
+
+// Under shortage jobs went out with time to run and none to wait, and ended late.
+TEST(Failure, SentTooLateToWait) {
+  auto settings = plain_settings();
+  for (auto& c : settings.classes) c.late_worth = 0;
+  Rig rig(settings);
+  rig.workers(boxes(1));
+  for (int i = 0; i < 30; ++i) {  // the usual wait at this worker: 150 ms
+    const auto id = rig.ask();
+    rig.pass(150 * kMs);
+    rig.give(Started{id, 0});
+    rig.now += 100 * kMs;
+    rig.end(id, Result::ok);
+    rig.pass(300 * kMs);
+  }
+  rig.ask();  // keeps the worker busy
+  rig.pass(40 * kMs);
+  const auto id = rig.ask();  // aim 200 + 2 x 100 ms, runs 100: hopeless 150 ms after arrival, not 300
+  rig.pass(200 * kMs);
+  EXPECT_TRUE(rig.sends(id).empty());
+  EXPECT_EQ(rig.count<Refuse>(id), 1);
+}
+
+TEST(Determinism, TheSameEventsGiveTheSameActions) {
+  const auto play = [] {
+    Rig rig(plain_settings());
+    rig.workers(boxes(6));
+    std::string text;
+    for (int i = 0; i < 60; ++i)
+      text += rig.sent_to(rig.ask("safe", (1 + i % 7) * 20 * kMs)).size() ? "s" : "h";
+    for (const auto& a : rig.log)
+      if (const auto* s = std::get_if<Send>(&a)) text += s->worker;
+    return text;
+  };
+  EXPECT_EQ(play(), play());
+}
+
+TEST(Restart, StopForgetsEverything) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  const auto id = rig.ask();
+  rig.give(Stop{});
+  rig.give(Start{plain_settings()});
+  rig.pass(10 * kSecond);
+  EXPECT_EQ(rig.count<Fail>(id) + rig.count<Refuse>(id), 0);
+}
+
+}  // namespace
+}  // namespace woadridge::test
