--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -222,9 +222,11 @@
 
   bool listed(const Worker& w) const { return w.info.phase == Phase::serving; }
 
-  // A shared fault makes all look bad: above a share the judgements are void, and all are used.
+  // A shared fault makes all look bad: above a share the judgements are void, and all are used. Not so for
+  // those that can't be reached: with a whole zone down, sending there again is a storm of failed connects.
   bool judged(const Worker& w) {
     if (now >= w.judged_until) return false;
+    if (w.unreachable) return true;
     double bad = 0, all = 0;
     for (const auto& [id, v] : workers)
       if (listed(v)) ++all, bad += now < v.judged_until ? 1 : 0;
@@ -286,8 +288,8 @@
       if (r.of->scope == Scope::group) r.queue.group = first->group;
     }
     const bool late = !in_time(r);
-    // Too late for any worth, and others wait: refused at once, so that the client knows.
-    if (late && r.of->late_worth <= 0 && queues.contains(r.queue)) return give_up(r);
+    // Too late for its full worth while others wait: refused at once, so that the client knows.
+    if (late && queues.contains(r.queue) && may_refuse(r)) return give_up(r);
     r.place = {late ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
     queues[r.queue][r.place] = r.id;
     r.held = true;
