Shortage: over-share jobs wait behind, no job to a worker too slow for its aim, others' use fades slower

Cause: under shortage each dispatcher queued a job at every worker again after a fraction of a mean job, and slow workers took jobs that could not make their aim there. Tenants' shares acted on no one at first: a few ms of the way here made every job pass for a repeat.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,8 +30,13 @@
 constexpr Micros kFirstTrial = 500'000;   // a judged worker's first trial comes after this, then doubling ...
 constexpr int kTrialDoublings = 4;        // ... so often
 constexpr Micros kSlotTrial = 5'000'000;  // between two tries to find one more slot than a kind has shown
-constexpr Micros kAskAgain = 400'000;     // first wait after a failed list call, doubling, with jitter ...
-constexpr int kAskDoublings = 4;          // ... so often
+constexpr double kOthersJobs = 2;         // mean jobs over which what is known of others' use fades
+constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
+constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
+constexpr double kShareSlack = 1.1;  // times its usual part that a tenant may send before it is over
+constexpr double kShareBurst = 1e6;  // microseconds of its part that it may send at once
+constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling, with jitter ...
+constexpr int kAskDoublings = 4;       // ... so often
 
 std::uint64_t id_hash(const WorkerId& id) {  // FNV-1a, then mixed: the same in every instance and start
   std::uint64_t h = 1469598103934665603ULL;
@@ -55,6 +60,7 @@
   std::map<std::uint64_t, Alarm> alarms;
   std::map<std::string, Micros> start_delay;  // least time from a send to its start note, by zone
   std::map<std::string, Micros> longest_ttl;  // by class: a first try's
+  std::map<std::string, Tenant> tenants;
   std::deque<Micros> hints;
   std::uint64_t arrivals = 0, tokens = 0;
   double threshold = 0, factor = 1, big_share = 0, mean_run = 0, mean_wait = 0;  // threshold 0: unknown
@@ -68,6 +74,7 @@
     random = set.seed ^ 0x9e3779b97f4a7c15ULL;
     born = now;
     for (const auto& c : set.classes) classes[c.name] = &c;
+    for (const auto& t : set.tenants) tenants[t.name] = {t.quota_per_s / 1e6, 0, 0, now};
     if (set.list_mode == ListMode::asked) ask_later(set.tick);
   }
 
@@ -138,9 +145,12 @@
     kind.slots = std::max(kind.slots, std::round(*report.free_slots));
   }
 
-  // Slots in use by others: what was seen last, fading within a mean job, as others' jobs end too.
+  // Slots in use by others: what was seen last, fading as their jobs end; they send new ones, so over two
+  // jobs.
   double others(const Worker& w) const {
-    return mean_run <= 0 ? 0 : w.others * std::exp(-static_cast<double>(now - w.others_at) / mean_run);
+    return mean_run <= 0
+               ? 0
+               : w.others * std::exp(-static_cast<double>(now - w.others_at) / (kOthersJobs * mean_run));
   }
 
   void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
@@ -160,13 +170,8 @@
     kind.slots = std::max(kind.slots, w.running);
     if (!a.late_start) see_others(w, std::min(others(w), kind.slots - w.running));
     if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, e.id, e.attempt);
-    if (w.unreachable) revive(w);
-  }
-
-  // A worker that could not be reached and now runs a job has restarted, whatever the late list says: cold.
-  void revive(Worker& w) {
-    w.unreachable = false;
-    w.info.started = now;
+    // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
+    if (w.unreachable) w.unreachable = false, w.info.started = now;
   }
 
   Micros quiet_limit() const {
@@ -251,6 +256,33 @@
     }
   }
 
+  // How much of the quotas comes through here, by the tenant in the middle: one that floods doesn't move it.
+  double usual_part() const {
+    std::vector<std::pair<double, double>> parts;
+    double all = 0, below = 0;
+    for (const auto& [name, t] : tenants)
+      if (t.quota > 0) parts.emplace_back(t.recent / kShareSpan / t.quota, t.quota), all += t.quota;
+    std::sort(parts.begin(), parts.end());
+    for (const auto& [part, quota] : parts)
+      if ((below += quota) >= all / 2) return part;
+    return 0;
+  }
+
+  // Guards against one tenant crowding out the rest: this instance sees a part of each tenant's traffic only,
+  // so a tenant is over its share when it sends more than the others' part of their quotas.
+  bool beyond_share(const std::string& name) {
+    const auto found = tenants.find(name);
+    if (found == tenants.end() || found->second.quota <= 0 || set.over_share_worth >= 1) return false;
+    Tenant& t = found->second;
+    const double span = static_cast<double>(now - t.at);
+    t.at = now, t.recent = t.recent * std::exp(-span / kShareSpan) + 1;
+    const double allowed = kShareSlack * usual_part() * t.quota;
+    t.credit = std::min(t.credit + span * allowed, 1 + kShareBurst * allowed);
+    if (t.credit < 1) return true;
+    t.credit -= 1;
+    return false;
+  }
+
   void on(const Arrival& a) {
     Request& r = requests[a.id];
     static const ClassSettings unknown;
@@ -266,6 +298,7 @@
     longest = std::max(longest, a.time_left);
     const Micros gone_by = a.time_left < longest ? std::max<Micros>(0, r.of->deadline - a.time_left) : 0;
     r.due = now - gone_by + r.of->aim + static_cast<Micros>(r.of->stretch * r.work);
+    r.over_share = !a.repeated && gone_by < kRepeatTicks * set.tick && beyond_share(a.tenant);
     alarm(r.deadline - 2 * set.tick, Why::deadline, r.id);
     hold(r);
   }
@@ -290,7 +323,7 @@
     const bool late = !in_time(r);
     // Too late for its full worth while others wait: refused at once, so that the client knows.
     if (late && queues.contains(r.queue) && may_refuse(r)) return give_up(r);
-    r.place = {late ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
+    r.place = {late ? 2 : r.over_share ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
     queues[r.queue][r.place] = r.id;
     r.held = true;
     if (r.of->effect == Effect::keyed && first != nullptr)
@@ -352,6 +385,8 @@
     if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
     for (const auto& a : r.attempts)
       if (a.out && a.worker == w.info.id) return false;
+    // Unlike servers: a job that can still be in time doesn't go where it would end late.
+    if (std::get<0>(r.place) < 2 && now + static_cast<Micros>(r.work / speed(w)) > r.due) return false;
     return within_cold_budget(w, r.work);
   }
 
@@ -394,7 +429,7 @@
         Worker* w = pick(r);
         if (!may_resend(r)) give_up(r);
         else if (w != nullptr) send(r, *w);
-        else if (std::get<0>(r.place) > 0 && r.of->late_worth <= 0) give_up(r);
+        else if (std::get<0>(r.place) > 1 && r.of->late_worth <= 0) give_up(r);
         else break;
       }
     }
@@ -543,7 +578,7 @@
   // memory of its group: nobody may take the repeat any more.
   void hopeless(Request& r) {
     if (r.held && !may_resend(r)) return give_up(r);
-    if (!r.held || std::get<0>(r.place) > 0) return;
+    if (!r.held || std::get<0>(r.place) > 1) return;
     unhold(r);
     hold(r);
   }
--- a/src/records.h
+++ b/src/records.h
@@ -35,6 +35,11 @@
   std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
 };
 
+struct Tenant {  // what this dispatcher sees of one tenant's traffic
+  double quota = 0, recent = 0, credit = 0;
+  Micros at = 0;
+};
+
 struct Attempt {
   WorkerId worker;
   std::string zone;
@@ -50,7 +55,8 @@
   auto operator<=>(const QueueKey&) const = default;
 };
 
-// Order within a queue: rank (0: can be in time), then hint (big lane only), then arrival.
+// Order within a queue: rank (0: in time, 1: beyond its tenant's share, 2: late), then hint (big lane only),
+// then arrival.
 using QueuePlace = std::tuple<int, Micros, std::uint64_t>;
 
 struct Request {
@@ -59,7 +65,7 @@
   Micros arrived = 0, due = 0, deadline = 0;
   double work = 0, slots = 1;
   std::uint64_t arrival = 0;
-  bool big = false, answered = false, held = false;
+  bool big = false, over_share = false, answered = false, held = false;
   QueueKey queue;
   QueuePlace place;
   std::vector<Attempt> attempts;
