--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -21,8 +21,8 @@
 constexpr double kThresholdFloor = 0.05;   // ... down to here ...
 constexpr double kThresholdDrift = 1.02;   // ... and back at each computation of d
 constexpr double kRoom = 0.5;              // least free room, in slots, that counts: rounds to one slot
-constexpr double kJobMemory = 0.9;     // what a worker's older jobs weigh at each new one: about ten count
-constexpr double kKindMemory = 0.99;   // the same for a kind of worker: about a hundred jobs count
+constexpr double kJobMemory = 10;          // mean jobs after which what a worker has shown fades
+constexpr double kKindMemory = 100;        // the same for a kind of worker
 constexpr double kUnknownSpeed = 0.5;  // of a kind never seen to finish a job: half a core, on the safe side
 constexpr double kColdMargin = 0.7;    // part of the cold budget used: hints are off by up to a half
 constexpr double kJudgedMost = 0.5;    // share of workers judged bad at once: more is a common cause
@@ -130,12 +130,14 @@
     return (w.work + mean_run * kind.work / kind.time) / (w.time + mean_run);
   }
 
-  // A running job's end tells the worker's speed; hints are noisy, so sums are compared.
+  // Work done in a time tells the worker's speed; hints are noisy, so sums that fade with the time run are
+  // compared.
   void learn_speed(Worker& w, double work, double time) {
     Kind& kind = kind_of(w);
-    w.work = w.work * kJobMemory + work, w.time = w.time * kJobMemory + time;
-    kind.work = kind.work * kKindMemory + work, kind.time = kind.time * kKindMemory + time;
-    mean_run = mean_run <= 0 ? time : mean_run * kKindMemory + time * (1 - kKindMemory);
+    const double keep = std::exp(-time / (kJobMemory * mean_run)),
+                 keep_kind = std::exp(-time / (kKindMemory * mean_run));
+    w.work = w.work * keep + work, w.time = w.time * keep + time;
+    kind.work = kind.work * keep_kind + work, kind.time = kind.time * keep_kind + time;
   }
 
   void learn_report(Worker& w, const Report& report) {
@@ -164,7 +166,7 @@
     a.seen_start = true, a.started = a.heard = now;
     --w.unstarted, w.running += r->slots;
     if (a.late_start) --w.late_starts;
-    mean_wait = mean_wait * kJobMemory + static_cast<double>(now - a.sent) * (1 - kJobMemory);
+    mean_wait += (static_cast<double>(now - a.sent) - mean_wait) / kJobMemory;
     auto& least = start_delay[w.info.zone];
     if (least == 0 || now - a.sent < least) least = now - a.sent;
     kind.slots = std::max(kind.slots, w.running);
@@ -178,14 +180,24 @@
     return static_cast<Micros>(kQuietPeriods * static_cast<double>(set.progress_every));
   }
 
-  void on(const Progress& e) {
-    if (auto* a = attempt(e.id, e.attempt).second; a != nullptr) a->heard = now;
+  void on(const Progress& e) {  // a slowed worker shows by the first note, long before its jobs end
+    auto [r, a] = attempt(e.id, e.attempt);
+    if (a == nullptr) return;
+    learn_pace(workers[a->worker], *r, *a, e.done);
+  }
+
+  // What was done since the last news of this attempt, in the time since. A repeat may go on from saved work,
+  // and would pass for speed.
+  void learn_pace(Worker& w, const Request& r, Attempt& a, double done) {
+    if (a.seen_start && r.attempts.size() == 1 && done > a.done)
+      learn_speed(w, r.work * (done - a.done), static_cast<double>(now - a.heard));
+    a.done = std::max(a.done, done), a.heard = now;
   }
 
   void on(const Probed& e) {
     if (workers.contains(e.worker)) learn_report(workers[e.worker], e.report);
   }
-  void on(const StreamBegun& e) { on(Progress{e.id, e.attempt, 0}); }
+  void on(const StreamBegun&) {}
   void on(const Stop&) {}
 
   // ---- classify ----
@@ -504,13 +516,12 @@
     set_lanes();
   }
 
-  void learn_outcome(Worker& w, const Request& r, const Attempt& a, Result result) {
+  void learn_outcome(Worker& w, const Request& r, Attempt& a, Result result) {
     if (result == Result::ok) {
       w.strikes = 0, w.judged_until = 0;
       if (w.cap > 0) w.cap += 1;
-      // A repeat may go on from saved work, and would pass for speed.
-      if (a.seen_start && r.work > 0 && r.attempts.size() == 1)
-        learn_speed(w, r.work, static_cast<double>(now - a.started));
+      learn_pace(w, r, a, 1);
+      if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
     } else if (result == Result::full) {
       see_full(w);
       w.cap = std::max(1.0, w.out);
--- a/src/records.h
+++ b/src/records.h
@@ -44,7 +44,8 @@
   WorkerId worker;
   std::string zone;
   std::int64_t group = 0;
-  Micros sent = 0, started = 0, heard = 0;
+  Micros sent = 0, started = 0, heard = 0;  // heard: the start or the last progress note
+  double done = 0;
   bool out = true, seen_start = false, late_start = false, never_ran = false;
 };
 
