--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -38,18 +38,11 @@
 constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling, with jitter ...
 constexpr int kAskDoublings = 4;       // ... so often
 
-std::uint64_t id_hash(const WorkerId& id) {  // FNV-1a, then mixed: the same in every instance and start
-  std::uint64_t h = 1469598103934665603ULL;
-  for (unsigned char c : id) h = (h ^ c) * 1099511628211ULL;
-  h ^= h >> 33;
-  return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
-}
-
 }  // namespace
 
 struct Dispatcher::State {
   Settings set;
-  std::uint64_t random = 0;
+  Random random;
   Micros now = 0, born = 0;
   std::vector<Action>* out = nullptr;
   std::map<WorkerId, Worker> workers;
@@ -71,18 +64,13 @@
   // ---- learn ----
   void on(const Start& e) {
     set = e.settings;
-    random = set.seed ^ 0x9e3779b97f4a7c15ULL;
+    random = Random(set.seed);
     born = now;
     for (const auto& c : set.classes) classes[c.name] = &c;
     for (const auto& t : set.tenants) tenants[t.name] = {t.quota_per_s / 1e6, 0, 0, now};
     if (set.list_mode == ListMode::asked) ask_later(set.tick);
   }
 
-  double uniform() {  // xorshift64*, seeded by the settings: the same events give the same actions
-    random ^= random >> 12, random ^= random << 25, random ^= random >> 27;
-    return static_cast<double>((random * 2685821657736338717ULL) >> 11) * 0x1.0p-53;
-  }
-
   void alarm(Micros at, Why why, RequestId id = 0, int attempt = 0) {
     alarms[++tokens] = {why, id, attempt};
     out->push_back(SetTimer{std::max(at, now), tokens});
@@ -91,15 +79,12 @@
   void ask_later(Micros wait) {
     if (asking) return;
     asking = true;
-    alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + uniform())), Why::ask);
+    alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + random.uniform())), Why::ask);
   }
 
   // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
   void on(const WorkerList& news) {
-    if (news.kind == ListKind::failed) {
-      ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
-      return;
-    }
+    if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
     std::set<WorkerId> named;
     for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
@@ -130,8 +115,7 @@
     return (w.work + mean_run * kind.work / kind.time) / (w.time + mean_run);
   }
 
-  // Work done in a time tells the worker's speed; hints are noisy, so sums that fade with the time run are
-  // compared.
+  // Work done in a time tells the speed; hints are noisy, so sums that fade with the time run are compared.
   void learn_speed(Worker& w, double work, double time) {
     Kind& kind = kind_of(w);
     const double keep = std::exp(-time / (kJobMemory * mean_run)),
@@ -147,12 +131,10 @@
     kind.slots = std::max(kind.slots, std::round(*report.free_slots));
   }
 
-  // Slots in use by others: what was seen last, fading as their jobs end; they send new ones, so over two
-  // jobs.
+  // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
   double others(const Worker& w) const {
-    return mean_run <= 0
-               ? 0
-               : w.others * std::exp(-static_cast<double>(now - w.others_at) / (kOthersJobs * mean_run));
+    return w.others *
+           std::exp(-static_cast<double>(now - w.others_at) / std::max(1.0, kOthersJobs * mean_run));
   }
 
   void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
@@ -182,8 +164,7 @@
 
   void on(const Progress& e) {  // a slowed worker shows by the first note, long before its jobs end
     auto [r, a] = attempt(e.id, e.attempt);
-    if (a == nullptr) return;
-    learn_pace(workers[a->worker], *r, *a, e.done);
+    if (a != nullptr) learn_pace(workers[a->worker], *r, *a, e.done);
   }
 
   // What was done since the last news of this attempt, in the time since. A repeat may go on from saved work,
@@ -268,12 +249,16 @@
     }
   }
 
+  double recent(const Tenant& t) const {
+    return t.recent * std::exp(-static_cast<double>(now - t.at) / kShareSpan);
+  }
+
   // How much of the quotas comes through here, by the tenant in the middle: one that floods doesn't move it.
   double usual_part() const {
     std::vector<std::pair<double, double>> parts;
     double all = 0, below = 0;
     for (const auto& [name, t] : tenants)
-      if (t.quota > 0) parts.emplace_back(t.recent / kShareSpan / t.quota, t.quota), all += t.quota;
+      if (t.quota > 0) parts.emplace_back(recent(t) / kShareSpan / t.quota, t.quota), all += t.quota;
     std::sort(parts.begin(), parts.end());
     for (const auto& [part, quota] : parts)
       if ((below += quota) >= all / 2) return part;
@@ -287,7 +272,7 @@
     if (found == tenants.end() || found->second.quota <= 0 || set.over_share_worth >= 1) return false;
     Tenant& t = found->second;
     const double span = static_cast<double>(now - t.at);
-    t.at = now, t.recent = t.recent * std::exp(-span / kShareSpan) + 1;
+    t.recent = recent(t) + 1, t.at = now;
     const double allowed = kShareSlack * usual_part() * t.quota;
     t.credit = std::min(t.credit + span * allowed, 1 + kShareBurst * allowed);
     if (t.credit < 1) return true;
@@ -414,7 +399,7 @@
       if (idle_only && (w.out > 0 || others(w) >= kRoom)) continue;
       const double near = w.info.zone == set.zone && free >= r.slots ? 1 : 0;
       const std::pair<double, double> rank{near * 1000 + free * speed(w), -w.out};
-      const double draw = uniform();
+      const double draw = random.uniform();
       if (chosen == nullptr || rank > top || (rank == top && draw > drawn))
         chosen = &w, top = rank, drawn = draw;
     }
@@ -608,7 +593,14 @@
     Attempt& a = r.attempts[static_cast<std::size_t>(number)];
     if (!a.out) return;
     if (now < a.heard + quiet_limit()) return alarm(a.heard + quiet_limit(), Why::silence, r.id, number);
-    judge(workers[a.worker]);
+    Worker& w = workers[a.worker];
+    judge(w);
+    if (judged(w)) move(r, number);
+  }
+
+  // Calls an attempt off so that the job may go elsewhere; its outcome decides (go_on), never two at once.
+  void move(Request& r, int number) {
+    if (set.may_cancel && may_resend(r)) out->push_back(Cancel{r.id, number});
   }
 };
 
--- a/src/records.h
+++ b/src/records.h
@@ -11,6 +11,27 @@
 
 namespace woadridge {
 
+class Random {  // xorshift64*, seeded by the settings: the same events give the same draws
+ public:
+  explicit Random(std::uint64_t seed = 0) : state_(seed ^ 0x9e3779b97f4a7c15ULL) {
+    if (state_ == 0) state_ = 1;  // the one state that it can't leave
+  }
+  double uniform() {
+    state_ ^= state_ >> 12, state_ ^= state_ << 25, state_ ^= state_ >> 27;
+    return static_cast<double>((state_ * 2685821657736338717ULL) >> 11) * 0x1.0p-53;
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+inline std::uint64_t id_hash(const WorkerId& id) {  // FNV-1a, then mixed: the same in every instance
+  std::uint64_t h = 1469598103934665603ULL;
+  for (unsigned char c : id) h = (h ^ c) * 1099511628211ULL;
+  h ^= h >> 33;
+  return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
+}
+
 struct Kind {  // what all workers of one kind and size have shown
   double slots = 1, work = 0, time = 0;
   Micros next_trial = 0;
