--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -30,6 +30,7 @@
 constexpr Micros kFirstTrial = 500'000;   // a judged worker's first trial comes after this, then doubling ...
 constexpr int kTrialDoublings = 4;        // ... so often
 constexpr Micros kSlotTrial = 5'000'000;  // between two tries to find one more slot than a kind has shown
+constexpr double kWaitMargin = 2;         // times the mean wait at workers that a last start leaves room for
 constexpr double kOthersJobs = 2;         // mean jobs over which what is known of others' use fades
 constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
 constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
@@ -307,7 +308,7 @@
   Micros run_time(const Request& r) const {
     double best = 0;
     for (const auto& [key, kind] : kinds) best = std::max(best, kind.time > 0 ? kind.work / kind.time : 0);
-    return best > 0 ? static_cast<Micros>(r.work / best + mean_wait) : 0;
+    return best > 0 ? static_cast<Micros>(r.work / best + kWaitMargin * mean_wait) : 0;
   }
 
   void hold(Request& r) {
