--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -31,7 +31,7 @@
 constexpr int kTrialDoublings = 4;        // ... so often
 constexpr Micros kSlotTrial = 5'000'000;  // between two tries to find one more slot than a kind has shown
 constexpr double kWaitMargin = 2;         // times the mean wait at workers that a last start leaves room for
-constexpr double kOthersJobs = 2;         // mean jobs over which what is known of others' use fades
+constexpr double kOthersJobs = 1.5;         // mean jobs over which what is known of others' use fades
 constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
 constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
 constexpr double kShareSlack = 1.1;  // times its usual part that a tenant may send before it is over
@@ -106,6 +106,11 @@
     w.info = info;
     w.info.started = std::max(info.started, seen_start);
     w.hash = id_hash(info.id);
+    Kind& kind = kind_of(w);
+    if (set.reports != ReportSource::probes || !set.may_probe || kind.told || now < kind.next_probe) return;
+    kind.next_probe = now + kSlotTrial;
+    out->push_back(
+        Probe{info.id});  // one probe a kind tells its slots; loads are told too late to be worth more
   }
 
   Kind& kind_of(const Worker& w) { return kinds[{w.info.kind, w.info.size}]; }
@@ -130,6 +135,7 @@
     w.reported = *report.free_slots;
     Kind& kind = kind_of(w);
     kind.slots = std::max(kind.slots, std::round(*report.free_slots));
+    kind.told = true;
   }
 
   // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
@@ -153,7 +159,7 @@
     auto& least = start_delay[w.info.zone];
     if (least == 0 || now - a.sent < least) least = now - a.sent;
     kind.slots = std::max(kind.slots, w.running);
-    if (!a.late_start) see_others(w, std::min(others(w), kind.slots - w.running));
+    see_others(w, a.late_start ? kind.slots - w.running : std::min(others(w), kind.slots - w.running));
     if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, e.id, e.attempt);
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
     if (w.unreachable) w.unreachable = false, w.info.started = now;
@@ -510,7 +516,9 @@
       if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
     } else if (result == Result::full) {
       see_full(w);
-      w.cap = std::max(1.0, w.out);
+      // Full without a job of ours: it drains unannounced or others fill it, so it rests and is tried again.
+      if (w.out > 0) w.cap = w.out;
+      else judge(w);
       see_others(w, kind_of(w).slots);
     } else if (result == Result::no_connection || result == Result::broken) {
       w.unreachable = true;
--- a/src/records.h
+++ b/src/records.h
@@ -34,7 +34,8 @@
 
 struct Kind {  // what all workers of one kind and size have shown
   double slots = 1, work = 0, time = 0;
-  Micros next_trial = 0;
+  Micros next_trial = 0, next_probe = 0;
+  bool told = false;  // by a report
 };
 
 struct Worker {
