--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -31,7 +31,7 @@
 constexpr int kTrialDoublings = 4;        // ... so often
 constexpr Micros kSlotTrial = 5'000'000;  // between two tries to find one more slot than a kind has shown
 constexpr double kWaitMargin = 2;         // times the mean wait at workers that a last start leaves room for
-constexpr double kOthersJobs = 1.5;         // mean jobs over which what is known of others' use fades
+constexpr double kOthersJobs = 1.5;       // mean jobs over which what is known of others' use fades
 constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
 constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
 constexpr double kShareSlack = 1.1;  // times its usual part that a tenant may send before it is over
@@ -140,8 +140,8 @@
 
   // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
   double others(const Worker& w) const {
-    return w.others *
-           std::exp(-static_cast<double>(now - w.others_at) / std::max(1.0, kOthersJobs * mean_run));
+    return w.others * std::exp(-static_cast<double>(now - w.others_at) /
+                               std::max({1.0, kOthersJobs * mean_run, 2 * static_cast<double>(w.wait)}));
   }
 
   void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
@@ -156,6 +156,7 @@
     --w.unstarted, w.running += r->slots;
     if (a.late_start) --w.late_starts;
     mean_wait += (static_cast<double>(now - a.sent) - mean_wait) / kJobMemory;
+    w.wait = now - a.sent;
     auto& least = start_delay[w.info.zone];
     if (least == 0 || now - a.sent < least) least = now - a.sent;
     kind.slots = std::max(kind.slots, w.running);
