--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,7 +58,8 @@
   std::deque<Micros> hints;
   std::uint64_t arrivals = 0, tokens = 0;
   double threshold = 0, factor = 1, big_share = 0, mean_run = 0, mean_wait = 0;  // threshold 0: unknown
-  Micros big_full_at = 0;
+  double late_share = 0;
+  Micros late_at = 0, big_full_at = 0;
   int failed_asks = 0;
   bool asking = false, pump_due = false;
 
@@ -139,11 +140,14 @@
   }
 
   // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
-  double others(const Worker& w) const {
-    return w.others * std::exp(-static_cast<double>(now - w.others_at) /
-                               std::max({1.0, kOthersJobs * mean_run, 2 * static_cast<double>(w.wait)}));
+  double others(const Worker& w) {
+    const double fade = std::max({1.0, kOthersJobs * mean_run, 2 * static_cast<double>(w.wait)});
+    const double usual = kind_of(w).slots * late_share * std::exp(-static_cast<double>(now - late_at) / fade);
+    return usual + (w.others - usual) * std::exp(-static_cast<double>(now - w.others_at) / fade);
   }
 
+  void see_start(bool late) { late_share += ((late ? 1 : 0) - late_share) / kJobMemory, late_at = now; }
+
   void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
 
   void on(const Started& e) {
@@ -160,6 +164,7 @@
     auto& least = start_delay[w.info.zone];
     if (least == 0 || now - a.sent < least) least = now - a.sent;
     kind.slots = std::max(kind.slots, w.running);
+    if (!a.late_start) see_start(false);
     see_others(w, a.late_start ? kind.slots - w.running : std::min(others(w), kind.slots - w.running));
     if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, e.id, e.attempt);
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
@@ -594,7 +599,7 @@
     Attempt& a = r.attempts[static_cast<std::size_t>(number)];
     if (!a.out || a.seen_start || a.late_start) return;
     Worker& w = workers[a.worker];
-    a.late_start = true, ++w.late_starts;
+    a.late_start = true, ++w.late_starts, see_start(true);
     see_others(w, std::max(0.0, kind_of(w).slots - w.running));
   }
 
