--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -141,7 +141,7 @@
 
   // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
   double others(const Worker& w) {
-    const double fade = std::max({1.0, kOthersJobs * mean_run, 2 * static_cast<double>(w.wait)});
+    const double fade = std::max(1.0, kOthersJobs * mean_run);
     const double usual = kind_of(w).slots * late_share * std::exp(-static_cast<double>(now - late_at) / fade);
     return usual + (w.others - usual) * std::exp(-static_cast<double>(now - w.others_at) / fade);
   }
@@ -160,7 +160,6 @@
     --w.unstarted, w.running += r->slots;
     if (a.late_start) --w.late_starts;
     mean_wait += (static_cast<double>(now - a.sent) - mean_wait) / kJobMemory;
-    w.wait = now - a.sent;
     auto& least = start_delay[w.info.zone];
     if (least == 0 || now - a.sent < least) least = now - a.sent;
     kind.slots = std::max(kind.slots, w.running);
--- a/src/records.h
+++ b/src/records.h
@@ -48,7 +48,6 @@
   int late_starts = 0;          // of these, how many should have started by now
   double others = 0;            // slots in use by others, as seen at `others_at`
   Micros others_at = 0;
-  Micros wait = 0;                 // of the last own job that started
   double cap = 0;                  // own slots allowed since it answered full; 0: no cap
   std::optional<double> reported;  // free slots by the last report, less own sends since
   double work = 0, time = 0;       // of own finished jobs, for its speed
