A try for one more slot every half second; calling off on silence and the probe for slots removed

Streams that began have no deadline; a restarted worker loses all learnt figures also when it is seen before the list tells.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -27,11 +27,11 @@
 constexpr double kColdMargin = 0.7;    // part of the cold budget used: hints are off by up to a half
 constexpr double kJudgedMost = 0.5;    // share of workers judged bad at once: more is a common cause
 constexpr double kQuietPeriods = 2.5;  // progress notes missed before a running job's worker is judged
-constexpr Micros kFirstTrial = 500'000;   // a judged worker's first trial comes after this, then doubling ...
-constexpr int kTrialDoublings = 4;        // ... so often
-constexpr Micros kSlotTrial = 5'000'000;  // between two tries to find one more slot than a kind has shown
-constexpr double kWaitMargin = 2;         // times the mean wait at workers that a last start leaves room for
-constexpr double kOthersJobs = 1.5;       // mean jobs over which what is known of others' use fades
+constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
+constexpr int kTrialDoublings = 4;       // ... so often
+constexpr Micros kSlotTrial = 500'000;   // between two tries to find one more slot than a kind has shown
+constexpr double kWaitMargin = 2;        // times the mean wait at workers that a last start leaves room for
+constexpr double kOthersJobs = 1.5;      // mean jobs over which what is known of others' use fades
 constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
 constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
 constexpr double kShareSlack = 1.1;  // times its usual part that a tenant may send before it is over
@@ -84,34 +84,35 @@
     alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + random.uniform())), Why::ask);
   }
 
+  void ask_again() {
+    const Micros wait = kAskAgain << std::min(failed_asks++, kAskDoublings);
+    ask_later(set.must_ask_in > 0 ? std::min(wait, set.must_ask_in) : wait);
+  }
+
   // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
   void on(const WorkerList& news) {
-    if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
+    if (news.kind == ListKind::failed) return ask_again();
     if (news.kind != ListKind::remembered) failed_asks = 0;
     std::set<WorkerId> named;
     for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
     if (news.kind != ListKind::changes)
       for (auto& [id, w] : workers)
         if (!named.contains(id)) w.info.phase = Phase::gone;
-    std::erase_if(workers,
-                  [](auto& e) { return e.second.info.phase == Phase::gone && e.second.attempts == 0; });
+    std::erase_if(workers, [](auto& e) { return e.second.info.phase == Phase::gone && !e.second.attempts; });
     set_lanes();
   }
 
   void learn_worker(const WorkerInfo& info) {
     Worker& w = workers[info.id];
-    const bool restarted = info.started > w.info.started;  // another process: nothing learnt holds for it
-    const Micros seen_start = w.info.started;
-    if (restarted) w.work = w.time = w.cap = w.others = 0, w.reported.reset(), w.unreachable = false;
-    if (restarted) w.judged_until = 0, w.strikes = 0;
-    w.info = info;
-    w.info.started = std::max(info.started, seen_start);
-    w.hash = id_hash(info.id);
-    Kind& kind = kind_of(w);
-    if (set.reports != ReportSource::probes || !set.may_probe || kind.told || now < kind.next_probe) return;
-    kind.next_probe = now + kSlotTrial;
-    out->push_back(
-        Probe{info.id});  // one probe a kind tells its slots; loads are told too late to be worth more
+    const Micros last_start = w.info.started;
+    w.info = info, w.info.started = last_start, w.hash = id_hash(info.id);
+    if (info.started > last_start) restarted(w, info.started);
+  }
+
+  void restarted(Worker& w, Micros at) {  // another process: nothing learnt holds for it
+    w.info.started = at;
+    w.work = w.time = w.cap = w.others = 0, w.reported.reset();
+    w.judged_until = 0, w.strikes = 0, w.unreachable = false;
   }
 
   Kind& kind_of(const Worker& w) { return kinds[{w.info.kind, w.info.size}]; }
@@ -124,19 +125,17 @@
 
   // Work done in a time tells the speed; hints are noisy, so sums that fade with the time run are compared.
   void learn_speed(Worker& w, double work, double time) {
-    Kind& kind = kind_of(w);
-    const double keep = std::exp(-time / (kJobMemory * mean_run)),
-                 keep_kind = std::exp(-time / (kKindMemory * mean_run));
-    w.work = w.work * keep + work, w.time = w.time * keep + time;
-    kind.work = kind.work * keep_kind + work, kind.time = kind.time * keep_kind + time;
+    const auto add = [&](auto& to, double jobs) {
+      const double keep = std::exp(-time / (jobs * mean_run));
+      to.work = to.work * keep + work, to.time = to.time * keep + time;
+    };
+    add(w, kJobMemory), add(kind_of(w), kKindMemory);
   }
 
   void learn_report(Worker& w, const Report& report) {
     if (!report.free_slots) return;
     w.reported = *report.free_slots;
-    Kind& kind = kind_of(w);
-    kind.slots = std::max(kind.slots, std::round(*report.free_slots));
-    kind.told = true;
+    kind_of(w).slots = std::max(kind_of(w).slots, std::round(*report.free_slots));
   }
 
   // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
@@ -167,7 +166,7 @@
     see_others(w, a.late_start ? kind.slots - w.running : std::min(others(w), kind.slots - w.running));
     if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, e.id, e.attempt);
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
-    if (w.unreachable) w.unreachable = false, w.info.started = now;
+    if (w.unreachable) restarted(w, now);
   }
 
   Micros quiet_limit() const {
@@ -190,7 +189,9 @@
   void on(const Probed& e) {
     if (workers.contains(e.worker)) learn_report(workers[e.worker], e.report);
   }
-  void on(const StreamBegun&) {}
+  void on(const StreamBegun& e) {
+    if (auto* r = attempt(e.id, e.attempt).first; r != nullptr) r->streaming = true;
+  }
   void on(const Stop&) {}
 
   // ---- classify ----
@@ -218,8 +219,7 @@
     const auto at = static_cast<std::size_t>(kBigQuantile * static_cast<double>(sorted.size() - 1));
     threshold = static_cast<double>(sorted[at]) * factor;
     double all = 0, big = 0;
-    for (const auto h : sorted)
-      all += static_cast<double>(h), big += static_cast<double>(h) > threshold ? h : 0;
+    for (const double h : sorted) all += h, big += h > threshold ? h : 0;
     big_share = all > 0 ? big / all : 0;
     set_lanes();
   }
@@ -357,8 +357,8 @@
     if (w.late_starts > 0) return 0;
     Kind& kind = kind_of(w);
     const double free = kind.slots - others(w) - w.out;
-    if (free < kRoom && w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial) return kRoom;
-    return free;
+    const bool one_more = w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial;
+    return one_more ? std::max(free, kRoom) : free;
   }
 
   double room_untold(const Worker& w) const {
@@ -489,6 +489,10 @@
     return r.of->effect == Effect::keyed && r.of->scope == Scope::all;
   }
 
+  bool is_out(const Request& r) const {
+    return std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; });
+  }
+
   void answered(Request& r) {  // cancels what is still out; the entry stays until all attempts have ended
     unhold(r);
     r.answered = true;
@@ -498,8 +502,7 @@
   }
 
   void forget(Request& r) {
-    if (r.answered && std::none_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; }))
-      requests.erase(r.id);
+    if (r.answered && !is_out(r)) requests.erase(r.id);
   }
 
   void give_up(Request& r) {
@@ -551,7 +554,7 @@
 
   // An attempt has ended without an answer: another if the rules and the time allow, else the final answer.
   void go_on(Request& r) {
-    if (r.held || std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; })) return;
+    if (r.held || is_out(r)) return;
     if (now >= r.deadline || !may_resend(r)) give_up(r);
     else hold(r);
   }
@@ -576,11 +579,10 @@
     if (a.why == Why::silence) silence(*r, a.attempt);
   }
 
-  // Rule 1: what is held gets its answer just before the time is up, what is out just after it at the
-  // latest.
+  // Rule 1: what is held is answered just before the time is up, what is out just after it at the latest.
   void deadline(Request& r) {
-    const bool is_out = std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; });
-    if (now < r.deadline && is_out) return alarm(r.deadline, Why::deadline, r.id);
+    if (r.streaming) return;  // the answer has begun: no deadline any more
+    if (now < r.deadline && is_out(r)) return alarm(r.deadline, Why::deadline, r.id);
     give_up(r);
   }
 
@@ -607,14 +609,7 @@
     Attempt& a = r.attempts[static_cast<std::size_t>(number)];
     if (!a.out) return;
     if (now < a.heard + quiet_limit()) return alarm(a.heard + quiet_limit(), Why::silence, r.id, number);
-    Worker& w = workers[a.worker];
-    judge(w);
-    if (judged(w)) move(r, number);
-  }
-
-  // Calls an attempt off so that the job may go elsewhere; its outcome decides (go_on), never two at once.
-  void move(Request& r, int number) {
-    if (set.may_cancel && may_resend(r)) out->push_back(Cancel{r.id, number});
+    judge(workers[a.worker]);
   }
 };
 
--- a/src/records.h
+++ b/src/records.h
@@ -34,8 +34,7 @@
 
 struct Kind {  // what all workers of one kind and size have shown
   double slots = 1, work = 0, time = 0;
-  Micros next_trial = 0, next_probe = 0;
-  bool told = false;  // by a report
+  Micros next_trial = 0;
 };
 
 struct Worker {
@@ -88,7 +87,7 @@
   Micros arrived = 0, due = 0, deadline = 0;
   double work = 0, slots = 1;
   std::uint64_t arrival = 0;
-  bool big = false, over_share = false, answered = false, held = false;
+  bool big = false, over_share = false, streaming = false, answered = false, held = false;
   QueueKey queue;
   QueuePlace place;
   std::vector<Attempt> attempts;
