--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -44,7 +44,7 @@
 struct Dispatcher::State {
   Settings set;
   Random random;
-  Micros now = 0, born = 0;
+  Micros now = 0, born = 0, quiet = 0;  // quiet: longest silence of a running job
   std::vector<Action>* out = nullptr;
   std::map<WorkerId, Worker> workers;
   std::map<std::pair<std::string, double>, Kind> kinds;
@@ -67,7 +67,7 @@
   void on(const Start& e) {
     set = e.settings;
     random = Random(set.seed);
-    born = now;
+    born = now, quiet = static_cast<Micros>(kQuietPeriods * static_cast<double>(set.progress_every));
     for (const auto& c : set.classes) classes[c.name] = &c;
     for (const auto& t : set.tenants) tenants[t.name] = {t.quota_per_s / 1e6, 0, 0, now};
     if (set.list_mode == ListMode::asked) ask_later(set.tick);
@@ -79,19 +79,14 @@
   }
 
   void ask_later(Micros wait) {
-    if (asking) return;
-    asking = true;
+    if (std::exchange(asking, true)) return;
+    if (set.must_ask_in > 0) wait = std::min(wait, set.must_ask_in);
     alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + random.uniform())), Why::ask);
   }
 
-  void ask_again() {
-    const Micros wait = kAskAgain << std::min(failed_asks++, kAskDoublings);
-    ask_later(set.must_ask_in > 0 ? std::min(wait, set.must_ask_in) : wait);
-  }
-
   // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
   void on(const WorkerList& news) {
-    if (news.kind == ListKind::failed) return ask_again();
+    if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
     std::set<WorkerId> named;
     for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
@@ -164,15 +159,11 @@
     kind.slots = std::max(kind.slots, w.running);
     if (!a.late_start) see_start(false);
     see_others(w, a.late_start ? kind.slots - w.running : std::min(others(w), kind.slots - w.running));
-    if (set.progress_every > 0) alarm(now + quiet_limit(), Why::silence, e.id, e.attempt);
+    if (set.progress_every > 0) alarm(now + quiet, Why::silence, e.id, e.attempt);
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
     if (w.unreachable) restarted(w, now);
   }
 
-  Micros quiet_limit() const {
-    return static_cast<Micros>(kQuietPeriods * static_cast<double>(set.progress_every));
-  }
-
   void on(const Progress& e) {  // a slowed worker shows by the first note, long before its jobs end
     auto [r, a] = attempt(e.id, e.attempt);
     if (a != nullptr) learn_pace(workers[a->worker], *r, *a, e.done);
@@ -186,9 +177,7 @@
     a.done = std::max(a.done, done), a.heard = now;
   }
 
-  void on(const Probed& e) {
-    if (workers.contains(e.worker)) learn_report(workers[e.worker], e.report);
-  }
+  void on(const Probed&) {}  // none is ever asked for: see docs/design.md
   void on(const StreamBegun& e) {
     if (auto* r = attempt(e.id, e.attempt).first; r != nullptr) r->streaming = true;
   }
@@ -295,7 +284,7 @@
   void on(const Arrival& a) {
     Request& r = requests[a.id];
     static const ClassSettings unknown;
-    r.id = a.id, r.arrived = now, r.deadline = now + a.time_left, r.slots = std::max(a.slots, 1.0);
+    r.id = a.id, r.deadline = now + a.time_left, r.slots = std::max(a.slots, 1.0);
     r.of = classes.contains(a.class_name) ? classes[a.class_name] : &unknown;
     r.arrival = ++arrivals;
     r.work = a.hint ? static_cast<double>(*a.hint) : mean_run;
@@ -305,7 +294,7 @@
     // A shorter time than a first try's tells a repeat, and how long ago its client first asked.
     auto& longest = longest_ttl[a.class_name];
     longest = std::max(longest, a.time_left);
-    const Micros gone_by = a.time_left < longest ? std::max<Micros>(0, r.of->deadline - a.time_left) : 0;
+    const Micros gone_by = longest - a.time_left;
     r.due = now - gone_by + r.of->aim + static_cast<Micros>(r.of->stretch * r.work);
     r.over_share = !a.repeated && gone_by < kRepeatTicks * set.tick && beyond_share(a.tenant);
     alarm(r.deadline - 2 * set.tick, Why::deadline, r.id);
@@ -323,9 +312,10 @@
   }
 
   void hold(Request& r) {
-    r.queue = {r.big, r.of->worker_kind, "", -1};
+    r.queue = {true, r.big, r.of->worker_kind, "", -1};
     const Attempt* first = may_have_run(r);
     if (first != nullptr && r.of->effect == Effect::keyed) {
+      r.queue.anywhere = r.of->scope == Scope::all;
       if (r.of->scope == Scope::zone) r.queue.zone = first->zone;
       if (r.of->scope == Scope::group) r.queue.group = first->group;
     }
@@ -362,8 +352,8 @@
   }
 
   double room_untold(const Worker& w) const {
-    if (set.reports == ReportSource::none) return w.cap > 0 ? w.cap - w.out : 1;
     if (w.reported) return *w.reported;
+    if (set.reports != ReportSource::answers) return w.cap > 0 ? w.cap - w.out : 1;
     double sum = 0, told = 0;
     for (const auto& [id, v] : workers)
       if (v.reported && listed(v)) sum += *v.reported, ++told;
@@ -392,8 +382,6 @@
     if (!r.queue.kind.empty() && w.info.kind != r.queue.kind) return false;
     if (!r.queue.zone.empty() && w.info.zone != r.queue.zone) return false;
     if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
-    for (const auto& a : r.attempts)
-      if (a.out && a.worker == w.info.id) return false;
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
     if (std::get<0>(r.place) < 2 && now + static_cast<Micros>(r.work / speed(w)) > r.due) return false;
     return within_cold_budget(w, r.work);
@@ -431,7 +419,6 @@
   void pump() {
     std::vector<QueueKey> keys;
     for (const auto& [key, queue] : queues) keys.push_back(key);
-    std::stable_partition(keys.begin(), keys.end(), [](auto& k) { return !k.zone.empty() || k.group >= 0; });
     for (const auto& key : keys) {
       while (queues.contains(key)) {
         Request& r = requests.at(queues[key].begin()->second);
@@ -608,7 +595,7 @@
   void silence(Request& r, int number) {
     Attempt& a = r.attempts[static_cast<std::size_t>(number)];
     if (!a.out) return;
-    if (now < a.heard + quiet_limit()) return alarm(a.heard + quiet_limit(), Why::silence, r.id, number);
+    if (now < a.heard + quiet) return alarm(a.heard + quiet, Why::silence, r.id, number);
     judge(workers[a.worker]);
   }
 };
--- a/src/records.h
+++ b/src/records.h
@@ -70,7 +70,8 @@
   bool out = true, seen_start = false, late_start = false, never_ran = false;
 };
 
-struct QueueKey {  // requests that can use the same workers in the same order wait in one queue
+struct QueueKey {        // requests that can use the same workers in the same order wait in one queue
+  bool anywhere = true;  // false: repeats that only one group may take; they come first
   bool big = false;
   std::string kind, zone;
   std::int64_t group = -1;
@@ -84,7 +85,7 @@
 struct Request {
   RequestId id = 0;
   const ClassSettings* of = nullptr;
-  Micros arrived = 0, due = 0, deadline = 0;
+  Micros due = 0, deadline = 0;
   double work = 0, slots = 1;
   std::uint64_t arrival = 0;
   bool big = false, over_share = false, streaming = false, answered = false, held = false;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -602,6 +602,156 @@
   EXPECT_EQ(rig.count<Refuse>(id), 1);
 }
 
+// Retries of clients that give each try a part of their time: a few ms of the way here made all pass for
+// late.
+TEST(Failure, FirstTriesTakenForRepeats) {
+  auto settings = plain_settings();
+  for (auto& c : settings.classes) c.late_worth = 0;
+  Rig rig(settings);
+  rig.workers(boxes(2));
+  for (int i = 0; i < 3; ++i) rig.serve(rig.ask("safe", 100 * kMs, 2500 * kMs));
+  rig.ask("safe", 100 * kMs, 2499 * kMs);
+  rig.ask("safe", 100 * kMs, 2498 * kMs);
+  rig.pass(20 * kMs);  // both workers now let a job wait
+  const auto held = rig.ask("safe", 100 * kMs, 2497 * kMs);
+  EXPECT_TRUE(rig.sends(held).empty());
+  rig.pass(20 * kMs);
+  EXPECT_EQ(rig.count<Refuse>(held), 0);
+}
+
+// A tenant that floods crowded out the others: what it sends beyond the others' part of their quotas waits.
+TEST(Failure, OneTenantCrowdsOutTheRest) {
+  auto settings = plain_settings();
+  settings.over_share_worth = 0.1;
+  settings.tenants = {{"flood", 0.34, 10}, {"one", 0.33, 10}, {"two", 0.33, 10}};
+  Rig rig(settings);
+  rig.workers(boxes(1));
+  const auto from = [&rig](const char* tenant) {
+    Arrival a;
+    a.id = ++rig.last_id, a.class_name = "keyed-zone", a.tenant = tenant, a.time_left = 5 * kSecond;
+    a.hint = 100 * kMs;
+    rig.give(a);
+    return a.id;
+  };
+  for (int i = 0; i < 100; ++i) {  // thirty times the others' traffic
+    for (int k = 0; k < 30; ++k) rig.serve(from("flood"), 2 * kMs);
+    rig.serve(from("one"), 5 * kMs);
+    rig.serve(from("two"), 5 * kMs);
+  }
+  const auto running = from("one");
+  rig.pass(20 * kMs);  // the worker is seen to be full
+  const auto flood = from("flood"), fair = from("two");
+  EXPECT_TRUE(rig.sends(flood).empty() && rig.sends(fair).empty());
+  rig.give(Started{running, 0});
+  rig.end(running, Result::ok);
+  rig.pass(250 * kMs);
+  EXPECT_EQ(rig.sends(fair).size(), 1u);
+  EXPECT_TRUE(rig.sends(flood).empty());
+}
+
+// Where workers differ, slow ones took jobs that could not make their aim there.
+TEST(Failure, TooSlowForTheAim) {
+  Rig rig(plain_settings());
+  auto list = boxes(3);
+  list[0].kind = list[1].kind = list[2].kind = "fast";
+  rig.workers(list);
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  list.clear();
+  for (const char* id : {"w0", "w1", "w2"}) {
+    list.push_back(worker(id));
+    list.back().kind = "fast";
+    if (id != lane) list.back().phase = Phase::draining;
+  }
+  auto slow = worker("slow");
+  slow.kind = "slow";
+  list.push_back(slow);
+  rig.workers(list);
+  for (int i = 0; i < 40; ++i) {  // teaches that it is five times slower
+    const auto id = rig.ask("keyed-zone", 60 * kMs);
+    const bool there = rig.sent_to(id).at(0) == "slow";
+    rig.serve(id, there ? 300 * kMs : 60 * kMs);
+  }
+  const auto id = rig.ask("safe", 100 * kMs);  // aim 400 ms; 500 ms there
+  rig.pass(20 * kMs);
+  for (const auto& to : rig.sent_to(id)) EXPECT_NE(to, "slow");
+}
+
+// Unseen workers were taken for idle while all that were tried let jobs wait.
+TEST(Failure, BlindAmongManyDispatchers) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(30));
+  warm_up(rig, 5);
+  int sent = 0;
+  for (int i = 0; i < 25; ++i) {
+    const auto id = rig.ask("keyed-zone");
+    sent += static_cast<int>(rig.sends(id).size());
+    rig.pass(15 * kMs);  // none starts in time
+  }
+  EXPECT_LT(sent, 15);
+}
+
+// A slowed worker showed only when its job ended; its progress notes tell at once.
+TEST(Failure, SlowedWorkerUnseenUntilItsJobEnds) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  warm_up(rig, 12);
+  const auto big = rig.ask("keyed-zone", 4 * kSecond);
+  const auto slow = rig.sent_to(big).at(0);
+  rig.give(Started{big, 0});
+  rig.now += 2 * kSecond;
+  rig.give(Progress{big, 0, 0.05});  // 0.2 s of work in two: a tenth of the usual speed
+  rig.end(big, Result::error, 0, true);
+  for (int i = 0; i < 6; ++i) {
+    const auto id = rig.ask();
+    EXPECT_NE(rig.sent_to(id).at(0), slow);
+    rig.serve(id);
+  }
+}
+
+// A worker that answered full with no job of ours there (it drained, unannounced) was asked again at once.
+TEST(Failure, FullAgainAndAgain) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  warm_up(rig, 4);
+  int full = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto id = rig.ask();
+    while (!rig.sends(id).empty() && rig.sent_to(id).back() == "w0" && rig.sends(id).size() < 5)
+      ++full, rig.end(id, Result::full, static_cast<int>(rig.sends(id).size()) - 1);
+    if (!rig.sends(id).empty() && rig.sent_to(id).back() == "w1")
+      rig.end(id, Result::ok, static_cast<int>(rig.sends(id).size()) - 1);
+    rig.pass(20 * kMs);
+  }
+  EXPECT_LE(full, 1);
+}
+
+// A job beside a slot never tried: kinds have more slots than one, and only a try shows it.
+TEST(Failure, SlotsNeverTried) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  warm_up(rig, 3);
+  std::vector<RequestId> ids;
+  for (int i = 0; i < 3; ++i) {
+    ids.push_back(rig.ask("keyed-zone"));
+    rig.pass(2 * kMs);
+    if (!rig.sends(ids.back()).empty()) rig.give(Started{ids.back(), 0});
+    rig.pass(600 * kMs);
+  }
+  for (const auto id : ids) EXPECT_EQ(rig.sends(id).size(), 1u);
+}
+
+TEST(Stream, OnceBegunItHasNoDeadline) {
+  auto settings = plain_settings();
+  settings.classes[0].streamed = true;
+  Rig rig(settings);
+  rig.workers(boxes(1));
+  const auto id = rig.ask();
+  rig.give(StreamBegun{id, 0});
+  rig.pass(20 * kSecond);
+  EXPECT_EQ(rig.count<Fail>(id) + rig.count<Refuse>(id), 0);
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Rig rig(plain_settings());
