Tenants' rates corrected for the time seen since the start

Found by test: early in a run each tenant's rate was taken too low, and all passed for over their share.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -258,8 +258,9 @@
   double usual_part() const {
     std::vector<std::pair<double, double>> parts;
     double all = 0, below = 0;
+    const double seen = 1 - kShareSpan * std::expm1(-static_cast<double>(now - born) / kShareSpan);
     for (const auto& [name, t] : tenants)
-      if (t.quota > 0) parts.emplace_back(recent(t) / kShareSpan / t.quota, t.quota), all += t.quota;
+      if (t.quota > 0) parts.emplace_back(recent(t) / seen / t.quota, t.quota), all += t.quota;
     std::sort(parts.begin(), parts.end());
     for (const auto& [part, quota] : parts)
       if ((below += quota) >= all / 2) return part;
@@ -276,9 +277,7 @@
     t.recent = recent(t) + 1, t.at = now;
     const double allowed = kShareSlack * usual_part() * t.quota;
     t.credit = std::min(t.credit + span * allowed, 1 + kShareBurst * allowed);
-    if (t.credit < 1) return true;
-    t.credit -= 1;
-    return false;
+    return t.credit < 1 || (t.credit -= 1, false);
   }
 
   void on(const Arrival& a) {
@@ -345,7 +344,7 @@
     if (w.strikes > 0 && w.out > 0) return 0;  // on trial: one job at a time
     if (!set.tells_start) return room_untold(w);
     if (w.late_starts > 0) return 0;
-    Kind& kind = kind_of(w);
+    const Kind& kind = kind_of(w);
     const double free = kind.slots - others(w) - w.out;
     const bool one_more = w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial;
     return one_more ? std::max(free, kRoom) : free;
