Under shortage the first 0.7 of a tenant's usual part goes first

Cause: with 1.1 all that a fleet short of capacity was asked for ranked alike and grew old together.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,7 +34,7 @@
 constexpr double kOthersJobs = 1.5;      // mean jobs over which what is known of others' use fades
 constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
 constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
-constexpr double kShareSlack = 1.1;  // times its usual part that a tenant may send before it is over
+constexpr double kShareFirst = 0.7;  // of a tenant's usual traffic goes first: what a short fleet can serve
 constexpr double kShareBurst = 1e6;  // microseconds of its part that it may send at once
 constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling, with jitter ...
 constexpr int kAskDoublings = 4;       // ... so often
@@ -275,7 +275,7 @@
     Tenant& t = found->second;
     const double span = static_cast<double>(now - t.at);
     t.recent = recent(t) + 1, t.at = now;
-    const double allowed = kShareSlack * usual_part() * t.quota;
+    const double allowed = kShareFirst * usual_part() * t.quota;
     t.credit = std::min(t.credit + span * allowed, 1 + kShareBurst * allowed);
     return t.credit < 1 || (t.credit -= 1, false);
   }
