--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -382,7 +382,8 @@
     if (!r.queue.zone.empty() && w.info.zone != r.queue.zone) return false;
     if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
-    if (std::get<0>(r.place) < 2 && now + static_cast<Micros>(r.work / speed(w)) > r.due) return false;
+    if (std::get<0>(r.place) < 2 && now + static_cast<Micros>(r.work / speed(w) + mean_wait) > r.due)
+      return false;
     return within_cold_budget(w, r.work);
   }
 
