--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -418,6 +418,7 @@
 TEST(Hold, ALateStartClosesTheWorkerUntilTheJobStarts) {
   Rig rig(plain_settings());
   rig.workers(boxes(1));
+  warm_up(rig, 3);
   const auto first = rig.ask();
   rig.pass(kSecond);
   const auto second = rig.ask();
