--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -100,7 +100,8 @@
   void learn_worker(const WorkerInfo& info) {
     Worker& w = workers[info.id];
     const Micros last_start = w.info.started;
-    w.info = info, w.info.started = last_start, w.hash = id_hash(info.id);
+    w.info = info, w.info.started = last_start, w.hash = id_hash(info.id),
+    w.of = &kinds[{info.kind, info.size}];
     if (info.started > last_start) restarted(w, info.started);
   }
 
@@ -110,10 +111,8 @@
     w.judged_until = 0, w.strikes = 0, w.unreachable = false;
   }
 
-  Kind& kind_of(const Worker& w) { return kinds[{w.info.kind, w.info.size}]; }
-
   double speed(const Worker& w) {  // own jobs there, leaning on its kind until there are some
-    const Kind& kind = kind_of(w);
+    const Kind& kind = *w.of;
     if (kind.time <= 0) return kUnknownSpeed;
     return (w.work + mean_run * kind.work / kind.time) / (w.time + mean_run);
   }
@@ -124,19 +123,19 @@
       const double keep = std::exp(-time / (jobs * mean_run));
       to.work = to.work * keep + work, to.time = to.time * keep + time;
     };
-    add(w, kJobMemory), add(kind_of(w), kKindMemory);
+    add(w, kJobMemory), add(*w.of, kKindMemory);
   }
 
   void learn_report(Worker& w, const Report& report) {
     if (!report.free_slots) return;
     w.reported = *report.free_slots;
-    kind_of(w).slots = std::max(kind_of(w).slots, std::round(*report.free_slots));
+    w.of->slots = std::max(w.of->slots, std::round(*report.free_slots));
   }
 
   // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
   double others(const Worker& w) {
     const double fade = std::max(1.0, kOthersJobs * mean_run);
-    const double usual = kind_of(w).slots * late_share * std::exp(-static_cast<double>(now - late_at) / fade);
+    const double usual = w.of->slots * late_share * std::exp(-static_cast<double>(now - late_at) / fade);
     return usual + (w.others - usual) * std::exp(-static_cast<double>(now - w.others_at) / fade);
   }
 
@@ -149,7 +148,7 @@
     if (found == nullptr || found->seen_start) return;
     Attempt& a = *found;
     Worker& w = workers[a.worker];
-    Kind& kind = kind_of(w);
+    Kind& kind = *w.of;
     a.seen_start = true, a.started = a.heard = now;
     --w.unstarted, w.running += r->slots;
     if (a.late_start) --w.late_starts;
@@ -169,8 +168,7 @@
     if (a != nullptr) learn_pace(workers[a->worker], *r, *a, e.done);
   }
 
-  // What was done since the last news of this attempt, in the time since. A repeat may go on from saved work,
-  // and would pass for speed.
+  // What was done since the last news of it. A repeat may go on from saved work, and would pass for speed.
   void learn_pace(Worker& w, const Request& r, Attempt& a, double done) {
     if (a.seen_start && r.attempts.size() == 1 && done > a.done)
       learn_speed(w, r.work * (done - a.done), static_cast<double>(now - a.heard));
@@ -221,8 +219,8 @@
 
   bool listed(const Worker& w) const { return w.info.phase == Phase::serving; }
 
-  // A shared fault makes all look bad: above a share the judgements are void, and all are used. Not so for
-  // those that can't be reached: with a whole zone down, sending there again is a storm of failed connects.
+  // A shared fault makes all look bad: above a share the judgements are void. Not so out of reach: with a
+  // whole zone down, sending there again is a storm of failed connects.
   bool judged(const Worker& w) {
     if (now >= w.judged_until) return false;
     if (w.unreachable) return true;
@@ -344,14 +342,14 @@
     if (w.strikes > 0 && w.out > 0) return 0;  // on trial: one job at a time
     if (!set.tells_start) return room_untold(w);
     if (w.late_starts > 0) return 0;
-    const Kind& kind = kind_of(w);
+    const Kind& kind = *w.of;
     const double free = kind.slots - others(w) - w.out;
     const bool one_more = w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial;
     return one_more ? std::max(free, kRoom) : free;
   }
 
   double room_untold(const Worker& w) const {
-    if (w.reported) return *w.reported;
+    if (w.reported) return w.out > 0 ? *w.reported : std::max(*w.reported, 1.0);  // only an answer renews it
     if (set.reports != ReportSource::answers) return w.cap > 0 ? w.cap - w.out : 1;
     double sum = 0, told = 0;
     for (const auto& [id, v] : workers)
@@ -371,7 +369,7 @@
     for (const auto& [at, amount] : w.sent) spent += amount;
     const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
     const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
-    const double capacity = kind_of(w).slots * speed(w) * part;
+    const double capacity = w.of->slots * speed(w) * part;
     return spent <= kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span) /
                         std::max(1, set.fleet_size);
   }
@@ -382,7 +380,8 @@
     if (!r.queue.zone.empty() && w.info.zone != r.queue.zone) return false;
     if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
-    if (std::get<0>(r.place) < 2 && now + static_cast<Micros>(r.work / speed(w) + mean_wait) > r.due)
+    if (std::get<0>(r.place) < 2 && w.of->time > 0 &&
+        now + static_cast<Micros>(r.work / speed(w) + mean_wait) > r.due)
       return false;
     return within_cold_budget(w, r.work);
   }
@@ -390,15 +389,16 @@
   // Most free room, then fewest own jobs, then at random; own zone first where a whole slot is free.
   Worker* best(const Request& r, bool big_lane, bool idle_only) {
     Worker* chosen = nullptr;
-    std::pair<double, double> top{};
+    std::tuple<bool, double, double> top{};
     double drawn = 0;
     for (auto& [id, w] : workers) {
       if (w.big_lane != big_lane) continue;
       const double free = room(w);
       if (free < kRoom * r.slots || !may_take(w, r)) continue;
       if (idle_only && (w.out > 0 || others(w) >= kRoom)) continue;
-      const double near = w.info.zone == set.zone && free >= r.slots ? 1 : 0;
-      const std::pair<double, double> rank{near * 1000 + free * speed(w), -w.out};
+      const bool blind = !set.tells_start && !w.reported;  // room is a guess: fewest own jobs for the speed
+      const bool near = !blind && w.info.zone == set.zone && free >= r.slots;
+      const std::tuple rank{near, blind ? -(w.out + 1) / speed(w) : free * speed(w), -w.out};
       const double draw = random.uniform();
       if (chosen == nullptr || rank > top || (rank == top && draw > drawn))
         chosen = &w, top = rank, drawn = draw;
@@ -406,8 +406,7 @@
     return chosen;
   }
 
-  // The own lane first. Small jobs may use a big-lane worker with room that no big job waits for, big ones a
-  // wholly idle small-lane one.
+  // Own lane first; then small jobs on big-lane workers no big job waits for, big ones on idle small ones.
   Worker* pick(const Request& r) {
     if (Worker* w = best(r, r.big, false)) return w;
     if (!r.big && std::any_of(queues.begin(), queues.end(), [](auto& q) { return q.first.big; }))
@@ -443,17 +442,18 @@
 
   void send(Request& r, Worker& w) {
     unhold(r);
-    Kind& kind = kind_of(w);
+    Kind& kind = *w.of;
     if (set.tells_start && kind.slots - others(w) - w.out < kRoom) kind.next_trial = now + kSlotTrial;
     Attempt a;
     a.worker = w.info.id, a.zone = w.info.zone, a.group = w.info.group, a.sent = now;
+    if (set.tells_start)
+      ++w.unstarted, alarm(now + start_limit(w), Why::overdue, r.id, static_cast<int>(r.attempts.size()));
+    else a.seen_start = true, a.started = a.heard = now, w.running += r.slots;
     r.attempts.push_back(a);
-    w.out += r.slots, ++w.attempts, ++w.unstarted;
+    w.out += r.slots, ++w.attempts;
     if (w.reported) *w.reported -= r.slots;
     if (cold(w)) w.sent.emplace_back(now, r.work);
     out->push_back(Send{r.id, w.info.id, 0});
-    if (set.tells_start)
-      alarm(now + start_limit(w), Why::overdue, r.id, static_cast<int>(r.attempts.size()) - 1);
   }
 
   // ---- outcome ----
@@ -514,7 +514,7 @@
       // Full without a job of ours: it drains unannounced or others fill it, so it rests and is tried again.
       if (w.out > 0) w.cap = w.out;
       else judge(w);
-      see_others(w, kind_of(w).slots);
+      see_others(w, w.of->slots);
     } else if (result == Result::no_connection || result == Result::broken) {
       w.unreachable = true;
       judge(w);
@@ -573,8 +573,7 @@
     give_up(r);
   }
 
-  // Held past the last moment that could make the aim: behind all that can still be in time. Held past the
-  // memory of its group: nobody may take the repeat any more.
+  // Held past the last start for its aim: behind the rest. Past its group's memory: nobody may take it.
   void hopeless(Request& r) {
     if (r.held && !may_resend(r)) return give_up(r);
     if (!r.held || std::get<0>(r.place) > 1) return;
@@ -588,7 +587,7 @@
     if (!a.out || a.seen_start || a.late_start) return;
     Worker& w = workers[a.worker];
     a.late_start = true, ++w.late_starts, see_start(true);
-    see_others(w, std::max(0.0, kind_of(w).slots - w.running));
+    see_others(w, std::max(0.0, w.of->slots - w.running));
   }
 
   // Runs and has said nothing for several progress periods: hung, dead or standing still.
--- a/src/records.h
+++ b/src/records.h
@@ -39,6 +39,7 @@
 
 struct Worker {
   WorkerInfo info;
+  Kind* of = nullptr;  // its kind's record, shared by all of the kind and size
   std::uint64_t hash = 0;
   bool big_lane = false;
   double out = 0, running = 0;  // own slots sent there, and of these seen to start
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -753,6 +753,48 @@
   for (const auto id : ids) EXPECT_EQ(rig.sends(id).size(), 1u);
 }
 
+// Without start notes no speed was learnt, so nearly all jobs passed for hopeless on every worker.
+TEST(Failure, SpeedUnknownWithoutStartNotes) {
+  auto settings = plain_settings();
+  settings.tells_start = false;
+  for (auto& c : settings.classes) c.late_worth = 0, c.aim = 20 * kMs, c.stretch = 1.5;
+  Rig rig(settings);
+  rig.workers(boxes(3));
+  for (int i = 0; i < 20; ++i) {
+    const auto id =
+        rig.ask("safe", 100 * kMs);  // twice its work, at half a core's speed, would be past its aim
+    ASSERT_EQ(rig.sends(id).size(), 1u) << i;
+    rig.now += 90 * kMs;
+    rig.end(id, Result::ok);
+  }
+}
+
+// Without reports and notes all room is alike, and the fastest worker got every job.
+TEST(Failure, FastestTakesAllWithoutReports) {
+  auto settings = plain_settings();
+  settings.tells_start = false;
+  Rig rig(settings);
+  rig.workers(boxes(4));
+  std::map<WorkerId, int> got;
+  for (int i = 0; i < 12; ++i) ++got[rig.sent_to(rig.ask()).at(0)];
+  EXPECT_EQ(got.size(), 3u);  // all of the small lane
+  for (const auto& [id, n] : got) EXPECT_EQ(n, 4) << id;
+}
+
+// A report of no room, with no job of ours there to renew it, shut the worker out for good.
+TEST(Failure, OldReportShutsAWorkerOut) {
+  auto settings = plain_settings();
+  settings.tells_start = false;
+  settings.reports = ReportSource::answers;
+  Rig rig(settings);
+  rig.workers(boxes(1));
+  const auto first = rig.ask();
+  Report none_free;
+  none_free.free_slots = 0;
+  rig.end(first, Result::ok, 0, true, none_free);
+  EXPECT_EQ(rig.sends(rig.ask()).size(), 1u);
+}
+
 TEST(Stream, OnceBegunItHasNoDeadline) {
   auto settings = plain_settings();
   settings.classes[0].streamed = true;
