--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -28,16 +28,14 @@
 constexpr double kJudgedMost = 0.5;    // share of workers judged bad at once: more is a common cause
 constexpr double kQuietPeriods = 2.5;  // progress notes missed before a running job's worker is judged
 constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
-constexpr int kTrialDoublings = 4;       // ... so often
+constexpr int kDoublings = 4;            // ... so often
 constexpr Micros kSlotTrial = 500'000;   // between two tries to find one more slot than a kind has shown
 constexpr double kWaitMargin = 2;        // times the mean wait at workers that a last start leaves room for
 constexpr double kOthersJobs = 1.5;      // mean jobs over which what is known of others' use fades
-constexpr int kRepeatTicks = 8;      // ticks of a client's time gone by that tell a repeat from the way here
-constexpr double kShareSpan = 10e6;  // microseconds over which a tenant's traffic is weighed
-constexpr double kShareFirst = 0.7;  // of a tenant's usual traffic goes first: what a short fleet can serve
-constexpr double kShareBurst = 1e6;  // microseconds of its part that it may send at once
-constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling, with jitter ...
-constexpr int kAskDoublings = 4;       // ... so often
+constexpr double kShareSpan = 10e6;      // microseconds over which a tenant's traffic is weighed
+constexpr double kShareFirst = 0.7;    // of a tenant's usual traffic goes first: what a short fleet can serve
+constexpr double kShareBurst = 1e6;    // microseconds of its part that it may send at once
+constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling as often, with jitter
 
 }  // namespace
 
@@ -61,7 +59,8 @@
   double late_share = 0;
   Micros late_at = 0, big_full_at = 0;
   int failed_asks = 0;
-  bool asking = false, pump_due = false;
+  bool asking = false, pump_due = false,
+       stuck = false;  // stuck: no first in a queue had room when last tried
 
   // ---- learn ----
   void on(const Start& e) {
@@ -86,7 +85,7 @@
 
   // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
   void on(const WorkerList& news) {
-    if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kAskDoublings));
+    if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
     std::set<WorkerId> named;
     for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
@@ -112,9 +111,8 @@
   }
 
   double speed(const Worker& w) {  // own jobs there, leaning on its kind until there are some
-    const Kind& kind = *w.of;
-    if (kind.time <= 0) return kUnknownSpeed;
-    return (w.work + mean_run * kind.work / kind.time) / (w.time + mean_run);
+    if (w.of->time <= 0) return kUnknownSpeed;
+    return (w.work + mean_run * w.of->work / w.of->time) / (w.time + mean_run);
   }
 
   // Work done in a time tells the speed; hints are noisy, so sums that fade with the time run are compared.
@@ -293,7 +291,7 @@
     longest = std::max(longest, a.time_left);
     const Micros gone_by = longest - a.time_left;
     r.due = now - gone_by + r.of->aim + static_cast<Micros>(r.of->stretch * r.work);
-    r.over_share = !a.repeated && gone_by < kRepeatTicks * set.tick && beyond_share(a.tenant);
+    r.over_share = !a.repeated && gone_by < set.connect_timeout && beyond_share(a.tenant);
     alarm(r.deadline - 2 * set.tick, Why::deadline, r.id);
     hold(r);
   }
@@ -320,6 +318,7 @@
     // Too late for its full worth while others wait: refused at once, so that the client knows.
     if (late && queues.contains(r.queue) && may_refuse(r)) return give_up(r);
     r.place = {late ? 2 : r.over_share ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
+    stuck &= queues.contains(r.queue);
     queues[r.queue][r.place] = r.id;
     r.held = true;
     if (r.of->effect == Effect::keyed && first != nullptr)
@@ -330,6 +329,7 @@
   void unhold(Request& r) {
     if (!r.held) return;
     r.held = false;
+    stuck = false;
     auto& queue = queues[r.queue];
     queue.erase(r.place);
     if (queue.empty()) queues.erase(r.queue);
@@ -342,9 +342,8 @@
     if (w.strikes > 0 && w.out > 0) return 0;  // on trial: one job at a time
     if (!set.tells_start) return room_untold(w);
     if (w.late_starts > 0) return 0;
-    const Kind& kind = *w.of;
-    const double free = kind.slots - others(w) - w.out;
-    const bool one_more = w.out >= kind.slots && w.unstarted == 0 && now >= kind.next_trial;
+    const double free = w.of->slots - others(w) - w.out;
+    const bool one_more = w.out >= w.of->slots && w.unstarted == 0 && now >= w.of->next_trial;
     return one_more ? std::max(free, kRoom) : free;
   }
 
@@ -428,6 +427,7 @@
         else break;
       }
     }
+    stuck = true;
     if (!queues.empty() && !pump_due) {
       pump_due = true;
       alarm(now + std::max<Micros>(static_cast<Micros>(mean_run / 8), 4 * set.tick), Why::pump);
@@ -442,8 +442,7 @@
 
   void send(Request& r, Worker& w) {
     unhold(r);
-    Kind& kind = *w.of;
-    if (set.tells_start && kind.slots - others(w) - w.out < kRoom) kind.next_trial = now + kSlotTrial;
+    if (set.tells_start && w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
     Attempt a;
     a.worker = w.info.id, a.zone = w.info.zone, a.group = w.info.group, a.sent = now;
     if (set.tells_start)
@@ -499,7 +498,7 @@
   }
 
   void judge(Worker& w) {
-    w.judged_until = now + (kFirstTrial << std::min(w.strikes++, kTrialDoublings));
+    w.judged_until = now + (kFirstTrial << std::min(w.strikes++, kDoublings));
     set_lanes();
   }
 
@@ -556,7 +555,7 @@
     if (found == alarms.end()) return;
     const Alarm a = found->second;
     alarms.erase(found);
-    if (a.why == Why::pump) pump_due = false;
+    if (a.why == Why::pump) pump_due = stuck = false;
     if (a.why == Why::ask) asking = false, out->push_back(Subscribe{});
     auto* r = find(a.id);
     if (r == nullptr || r->answered) return;
@@ -611,7 +610,8 @@
   State& s = *state_;
   s.now = now, s.out = &out;
   std::visit([&s](const auto& e) { s.on(e); }, event);
-  s.pump();
+  if (!std::holds_alternative<Arrival>(event) && !std::holds_alternative<TimerFired>(event)) s.stuck = false;
+  if (!s.stuck) s.pump();  // most arrivals and timers open no room
 }
 
 }  // namespace woadridge
