--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -124,6 +124,16 @@
   }
 }
 
+TEST(NoDoubledEffect, KeyedRepeatStaysInItsZoneThoughTheOwnZoneIsFree) {
+  Rig rig(plain_settings());
+  rig.workers({worker("b1", "b"), worker("b2", "b")});
+  const auto id = rig.ask("keyed-zone");
+  rig.workers({worker("a1", "a"), worker("a2", "a"), worker("b1", "b"), worker("b2", "b")});
+  rig.end(id, Result::error);
+  ASSERT_EQ(rig.sends(id).size(), 2u);
+  EXPECT_EQ(rig.sent_to(id)[1][0], 'b');
+}
+
 TEST(NoDoubledEffect, KeyedThatNeverRanMayGoAnywhere) {
   Rig rig(plain_settings());
   rig.workers({worker("a1", "a", 1), worker("b1", "b", 2)});
