A lone worker serves both lanes; tests strengthened where a broken module passed

Big jobs could use a lone worker only when wholly idle. Tests that mutations survived (storm, warm-up, judged lane, late start, zone, spill, list waits, blind choice) now fail on them.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -59,8 +59,7 @@
   double late_share = 0;
   Micros late_at = 0, big_full_at = 0;
   int failed_asks = 0;
-  bool asking = false, pump_due = false,
-       stuck = false;  // stuck: no first in a queue had room when last tried
+  bool asking = false, pump_due = false, split = false, stuck = false;  // stuck: no room when last tried
 
   // ---- learn ----
   void on(const Start& e) {
@@ -231,7 +230,7 @@
   // The big lane: for each kind that a class needs the first workers in hash order, up to the big jobs'
   // share of the size. A lane must outlive its only worker, so judged ones are passed over.
   void set_lanes() {
-    for (auto& [id, w] : workers) w.big_lane = false;
+    for (auto& [id, w] : workers) w.big_lane = split = false;  // a lone worker serves both lanes
     std::set<std::string> needed;
     for (const auto& c : set.classes) needed.insert(c.worker_kind);
     for (const auto& kind : needed) {
@@ -242,7 +241,7 @@
           fit.push_back(&w), total += w.info.size;
       std::sort(fit.begin(), fit.end(), [](auto* a, auto* b) { return a->hash < b->hash; });
       for (std::size_t i = 0; i + 1 < fit.size() && (i == 0 || taken < big_share * total); ++i)
-        fit[i]->big_lane = true, taken += fit[i]->info.size;
+        split = fit[i]->big_lane = true, taken += fit[i]->info.size;
     }
   }
 
@@ -349,7 +348,7 @@
 
   double room_untold(const Worker& w) const {
     if (w.reported) return w.out > 0 ? *w.reported : std::max(*w.reported, 1.0);  // only an answer renews it
-    if (set.reports != ReportSource::answers) return w.cap > 0 ? w.cap - w.out : 1;
+    if (set.reports != ReportSource::answers) return 1;
     double sum = 0, told = 0;
     for (const auto& [id, v] : workers)
       if (v.reported && listed(v)) sum += *v.reported, ++told;
@@ -410,7 +409,7 @@
     if (Worker* w = best(r, r.big, false)) return w;
     if (!r.big && std::any_of(queues.begin(), queues.end(), [](auto& q) { return q.first.big; }))
       return nullptr;
-    return best(r, !r.big, r.big);
+    return best(r, !r.big, r.big && split);
   }
 
   // ---- send ----
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -317,8 +317,8 @@
   Rig rig(plain_settings());
   rig.workers(boxes(4));
   std::set<WorkerId> used;
-  for (int i = 0; i < 15; ++i) {
-    const auto id = rig.ask("safe", i % 2 == 0 ? 10 * kMs : 800 * kMs);
+  for (int i = 0; i < 19; ++i) {
+    const auto id = rig.ask("safe", i < 16 ? 10 * kMs : 800 * kMs);
     used.insert(rig.sent_to(id).at(0));
     rig.serve(id);
   }
@@ -379,6 +379,36 @@
   EXPECT_NE(rig.sent_to(lost)[1], next);
 }
 
+TEST(Split, TheLaneMovesOnWhenItsWorkerIsJudged) {
+  for (std::uint64_t seed = 1; seed < 10; ++seed) {
+    auto settings = plain_settings();
+    settings.seed = seed;
+    Rig rig(settings);
+    rig.workers(boxes(4));
+    warm_up(rig);
+    const auto lost = rig.ask("safe", 900 * kMs);
+    rig.end(lost, Result::broken);
+    const auto next = rig.sent_to(lost).at(1);
+    rig.end(lost, Result::ok, 1);
+    const auto one = rig.ask(), two = rig.ask();
+    EXPECT_NE(rig.sent_to(one).at(0), next);
+    EXPECT_NE(rig.sent_to(two).at(0), next);
+  }
+}
+
+TEST(Split, ALoneWorkerTakesBigJobsThoughNotIdle) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  warm_up(rig);
+  const auto small = rig.ask();
+  rig.now += kMs;
+  rig.give(Started{small, 0});
+  rig.pass(600 * kMs);
+  const auto big = rig.ask("keyed-zone", 900 * kMs);  // the worker may have one more slot
+  rig.pass(600 * kMs);
+  EXPECT_EQ(rig.sends(big).size(), 1u);
+}
+
 TEST(Split, OneWorkerServesBothLanes) {
   Rig rig(plain_settings());
   rig.workers(boxes(1));
@@ -429,6 +459,15 @@
   Rig rig(plain_settings());
   rig.workers(boxes(1));
   warm_up(rig, 3);
+  const auto a = rig.ask();
+  rig.now += kMs;
+  rig.give(Started{a, 0});
+  rig.pass(600 * kMs);
+  const auto b = rig.ask();  // two at once: the worker has two slots
+  rig.now += kMs;
+  rig.give(Started{b, 0});
+  rig.end(a, Result::ok);
+  rig.end(b, Result::ok);
   const auto first = rig.ask();
   rig.pass(kSecond);
   const auto second = rig.ask();
@@ -494,6 +533,29 @@
   EXPECT_NE(rig.sent_to(second).at(0), lane);
 }
 
+TEST(Spill, BigJobsDoNotJoinSmallOnesThoughThereIsRoom) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(2));
+  warm_up(rig);
+  const auto lane = big_lane_of(rig);
+  const auto start = [&rig](RequestId id) {
+    rig.now += kMs;
+    rig.give(Started{id, 0});
+  };
+  const auto big1 = rig.ask("safe", 900 * kMs), small1 = rig.ask();
+  start(big1), start(small1);
+  rig.pass(600 * kMs);
+  const auto small2 = rig.ask();  // tries a second slot, and finds it
+  ASSERT_NE(rig.sent_to(small2).at(0), lane);
+  start(small2);
+  rig.end(small2, Result::ok);
+  const auto big2 = rig.ask("safe", 900 * kMs);
+  ASSERT_EQ(rig.sent_to(big2).at(0), lane);
+  start(big2);
+  const auto big3 = rig.ask("safe", 900 * kMs);  // the lane is full, the other worker half empty
+  EXPECT_TRUE(rig.sends(big3).empty());
+}
+
 // ---- the list ----
 
 TEST(List, ASubscriptionIsAskedForAndAgainAfterEachFailureMoreSlowly) {
@@ -503,16 +565,17 @@
   rig.workers(boxes(2), ListKind::remembered);
   rig.pass(100 * kMs);
   EXPECT_EQ(rig.count<Subscribe>(), 1);
-  Micros last_wait = 0;
   for (int i = 0; i < 4; ++i) {
     rig.give(WorkerList{ListKind::failed, {}});
     const int before = rig.count<Subscribe>();
     Micros wait = 0;
     while (rig.count<Subscribe>() == before && wait < 60 * kSecond) rig.pass(10 * kMs), wait += 10 * kMs;
     EXPECT_EQ(rig.count<Subscribe>(), before + 1);
-    if (i % 2 == 0) {  // jitter may reach twice the least wait: compare every other one
-      EXPECT_GT(wait, last_wait);
-      last_wait = wait;
+    if (i == 0) {
+      EXPECT_LE(wait, kSecond);
+    }
+    if (i == 3) {
+      EXPECT_GE(wait, 3 * kSecond);  // doubled three times
     }
   }
   const auto id = rig.ask();
@@ -581,11 +644,11 @@
   warm_up(rig, 4, 20 * kMs);
   int failed = 0;
   for (int i = 0; i < 50; ++i) {
-    const auto id = rig.ask("safe", 20 * kMs);
-    while (!rig.sends(id).empty() && rig.sent_to(id).back() != "w0" && rig.count<Refuse>(id) == 0)
-      ++failed, rig.end(id, Result::no_connection, static_cast<int>(rig.sends(id).size()) - 1);
-    if (!rig.sends(id).empty() && rig.count<Refuse>(id) == 0)
-      rig.end(id, Result::ok, static_cast<int>(rig.sends(id).size()) - 1);
+    const auto id = rig.ask("safe", 20 * kMs);  // w0 takes what it gets and is busy, the others are down
+    for (int n = 0;
+         n < static_cast<int>(rig.sends(id).size()) && rig.sent_to(id)[static_cast<std::size_t>(n)] != "w0";
+         ++n)
+      ++failed, rig.end(id, Result::no_connection, n);
     rig.pass(4 * kMs);
   }
   EXPECT_LE(failed, 3);  // one try at each of the three
@@ -785,10 +848,18 @@
   settings.tells_start = false;
   Rig rig(settings);
   rig.workers(boxes(4));
+  WorkerId fastest;
+  for (int i = 0; i < 30; ++i) {
+    const auto id = rig.ask();
+    const auto to = rig.sent_to(id).at(0);
+    if (fastest.empty()) fastest = to;
+    rig.now += to == fastest ? 60 * kMs : 100 * kMs;
+    rig.end(id, Result::ok);
+  }
   std::map<WorkerId, int> got;
   for (int i = 0; i < 12; ++i) ++got[rig.sent_to(rig.ask()).at(0)];
   EXPECT_EQ(got.size(), 3u);  // all of the small lane
-  for (const auto& [id, n] : got) EXPECT_EQ(n, 4) << id;
+  EXPECT_LE(got[fastest], 8);
 }
 
 // A report of no room, with no job of ours there to renew it, shut the worker out for good.
