--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -842,6 +842,32 @@
   }
 }
 
+// ... and slow workers went on passing for as fast as the others.
+TEST(Failure, SlownessUnknownWithoutStartNotes) {
+  auto settings = plain_settings();
+  settings.tells_start = false;
+  Rig rig(settings);
+  auto slow = worker("slow");
+  slow.kind = "slow";
+  rig.workers({slow, worker("fast1"), worker("fast2"), worker("fast3")});
+  int taught = 0;
+  for (int i = 0; i < 10; ++i) {  // four at once, so that the slow one gets its part
+    std::vector<RequestId> ids;
+    for (int k = 0; k < 4; ++k) ids.push_back(rig.ask("keyed-zone", 50 * kMs));
+    rig.now += 50 * kMs;
+    for (const auto id : ids)
+      if (rig.sent_to(id).at(0) != "slow") rig.end(id, Result::ok);
+    rig.now += 200 * kMs;
+    for (const auto id : ids)
+      if (rig.sent_to(id).at(0) == "slow") ++taught, rig.end(id, Result::ok);
+  }
+  ASSERT_GT(taught, 0);
+  for (int i = 0; i < 12; ++i) {  // aim 400 ms; 500 ms there
+    const auto id = rig.ask("keyed-zone", 100 * kMs);
+    for (const auto& to : rig.sent_to(id)) EXPECT_NE(to, "slow");
+  }
+}
+
 // Without reports and notes all room is alike, and the fastest worker got every job.
 TEST(Failure, FastestTakesAllWithoutReports) {
   auto settings = plain_settings();
@@ -906,6 +932,9 @@
   rig.workers(boxes(2));
   const auto id = rig.ask();
   rig.give(Stop{});
+  const auto after = rig.ask();
+  rig.pass(10 * kSecond);
+  EXPECT_EQ(rig.count<Send>(after) + rig.count<Refuse>(after), 0);
   rig.give(Start{plain_settings()});
   rig.pass(10 * kSecond);
   EXPECT_EQ(rig.count<Fail>(id) + rig.count<Refuse>(id), 0);
