--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -35,6 +35,7 @@
 constexpr double kShareSpan = 10e6;      // microseconds over which a tenant's traffic is weighed
 constexpr double kShareFirst = 0.7;    // of a tenant's usual traffic goes first: what a short fleet can serve
 constexpr double kShareBurst = 1e6;    // microseconds of its part that it may send at once
+constexpr double kSharp = 1;
 constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling as often, with jitter
 
 }  // namespace
@@ -387,8 +388,8 @@
   // Most free room, then fewest own jobs, then at random; own zone first where a whole slot is free.
   Worker* best(const Request& r, bool big_lane, bool idle_only) {
     Worker* chosen = nullptr;
-    std::tuple<bool, double, double> top{};
-    double drawn = 0;
+    double top = 0;
+    bool top_near = false;
     for (auto& [id, w] : workers) {
       if (w.big_lane != big_lane) continue;
       const double free = room(w);
@@ -396,10 +397,10 @@
       if (idle_only && (w.out > 0 || others(w) >= kRoom)) continue;
       const bool blind = !set.tells_start && !w.reported;  // room is a guess: fewest own jobs for the speed
       const bool near = !blind && w.info.zone == set.zone && free >= r.slots;
-      const std::tuple rank{near, blind ? -(w.out + 1) / speed(w) : free * speed(w), -w.out};
-      const double draw = random.uniform();
-      if (chosen == nullptr || rank > top || (rank == top && draw > drawn))
-        chosen = &w, top = rank, drawn = draw;
+      const double draw = blind ? -(w.out + 1) / speed(w)
+                                : std::log(1e-9 + random.uniform()) / std::pow(free * speed(w), kSharp);
+      if (chosen == nullptr || near > top_near || (near == top_near && draw > top))
+        chosen = &w, top = draw, top_near = near;
     }
     return chosen;
   }
