Full size: own order of few workers, zone balance, copies where cancels stop, prompt refusals

Cause: at full size a dispatcher meets each worker so seldom that all records are guesses; hundreds ranked the same workers first, kept queues full of late jobs and left cold workers empty.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,7 +1,6 @@
 // All decisions of a dispatcher; the interface is src/decide.h, the reasons are in docs/design.md.
 // Thresh-SPLIT(d): hint above d -> a small lane for big jobs, the rest -> the other workers, each job held
-// here until a worker of its lane has room. Read from the top: learn, classify, hold, pick, send, outcome,
-// time-out.
+// here until a worker of its lane has room. In order: learn, classify, hold, pick, send, outcome, time-out.
 #include "decide.h"
 
 #include <algorithm>
@@ -21,107 +20,85 @@
 constexpr double kThresholdFloor = 0.05;   // ... down to here ...
 constexpr double kThresholdDrift = 1.02;   // ... and back at each computation of d
 constexpr double kRoom = 0.5;              // least free room, in slots, that counts: rounds to one slot
-constexpr double kJobMemory = 10;          // mean jobs after which what a worker has shown fades
+constexpr double kJobMemory = 10;          // mean jobs over which a worker's pace and the usual wait fade
 constexpr double kKindMemory = 100;        // the same for a kind of worker
 constexpr double kUnknownSpeed = 0.5;  // of a kind never seen to finish a job: half a core, on the safe side
-constexpr double kColdMargin = 0.7;    // part of the cold budget used: hints are off by up to a half
-constexpr double kJudgedMost = 0.5;    // share of workers judged bad at once: more is a common cause
-constexpr double kQuietPeriods = 2.5;  // progress notes missed before a running job's worker is judged
+constexpr double kKnownWorkers = 4;    // workers that a dispatcher keeps to in each lane and zone ...
+constexpr double kKnownPerJob = 1.4;   // ... and so many more for each own job out
+constexpr double kZoneGap = 0.1;     // the own zone comes first until its late share is so far above others'
+constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
+constexpr int kGrants = 20;          // a granted dispatcher may use 1/20 of a cold budget, and on average ...
+constexpr double kGrantsDrawn = 3;   // ... three have a grant: docs/design.md has the bound
 constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
 constexpr int kDoublings = 4;            // ... so often
 constexpr Micros kSlotTrial = 500'000;   // between two tries to find one more slot than a kind has shown
-constexpr double kWaitMargin = 2;        // times the mean wait at workers that a last start leaves room for
+constexpr double kWaitMargin = 1.5;      // times the usual wait at workers that a last start leaves room for
 constexpr double kOthersJobs = 1.5;      // mean jobs over which what is known of others' use fades
 constexpr double kShareSpan = 10e6;      // microseconds over which a tenant's traffic is weighed
-constexpr double kShareFirst = 0.7;    // of a tenant's usual traffic goes first: what a short fleet can serve
-constexpr double kShareBurst = 1e6;    // microseconds of its part that it may send at once
-constexpr double kSharp = 1;
+constexpr double kShareFirst = 0.7;      // of a tenant's part goes first: what a short fleet can serve
+constexpr int kStops = 4;                // evidence that a cancel stops work: chance shows it rarely ...
+constexpr int kRunsOn = -1;              // ... and a queue of others hides it often
+constexpr int kBelieved = 6;             // evidence at which it is believed
+constexpr int kGivenUp = -3;             // and at which no more trials are made
 constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling as often, with jitter
 
 }  // namespace
 
-struct Dispatcher::State {
-  Settings set;
-  Random random;
-  Micros now = 0, born = 0, quiet = 0;  // quiet: longest silence of a running job
-  std::vector<Action>* out = nullptr;
-  std::map<WorkerId, Worker> workers;
-  std::map<std::pair<std::string, double>, Kind> kinds;
-  std::map<std::string, const ClassSettings*> classes;
-  std::map<RequestId, Request> requests;
-  std::map<QueueKey, std::map<QueuePlace, RequestId>> queues;
-  std::map<std::uint64_t, Alarm> alarms;
-  std::map<std::string, Micros> start_delay;  // least time from a send to its start note, by zone
-  std::map<std::string, Micros> longest_ttl;  // by class: a first try's
-  std::map<std::string, Tenant> tenants;
-  std::deque<Micros> hints;
-  std::uint64_t arrivals = 0, tokens = 0;
-  double threshold = 0, factor = 1, big_share = 0, mean_run = 0, mean_wait = 0;  // threshold 0: unknown
-  double late_share = 0;
-  Micros late_at = 0, big_full_at = 0;
-  int failed_asks = 0;
-  bool asking = false, pump_due = false, split = false, stuck = false;  // stuck: no room when last tried
-
+struct Dispatcher::State : Memory {
   // ---- learn ----
   void on(const Start& e) {
     set = e.settings;
     random = Random(set.seed);
-    born = now, quiet = static_cast<Micros>(kQuietPeriods * static_cast<double>(set.progress_every));
+    born = now;
     for (const auto& c : set.classes) classes[c.name] = &c;
-    for (const auto& t : set.tenants) tenants[t.name] = {t.quota_per_s / 1e6, 0, 0, now};
+    for (const auto& t : set.tenants) tenants[t.name].quota = t.quota_per_s;
     if (set.list_mode == ListMode::asked) ask_later(set.tick);
   }
 
-  void alarm(Micros at, Why why, RequestId id = 0, int attempt = 0) {
-    alarms[++tokens] = {why, id, attempt};
-    out->push_back(SetTimer{std::max(at, now), tokens});
-  }
-
-  void ask_later(Micros wait) {
+  void ask_later(Micros wanted) {
     if (std::exchange(asking, true)) return;
-    if (set.must_ask_in > 0) wait = std::min(wait, set.must_ask_in);
-    alarm(now + static_cast<Micros>(static_cast<double>(wait) * (1 + random.uniform())), Why::ask);
+    if (set.must_ask_in > 0) wanted = std::min(wanted, set.must_ask_in);
+    alarm(now + static_cast<Micros>(static_cast<double>(wanted) * (1 + random.uniform())), Why::ask);
   }
 
   // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
   void on(const WorkerList& news) {
     if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
-    std::set<WorkerId> named;
-    for (const auto& info : news.workers) named.insert(info.id), learn_worker(info);
-    if (news.kind != ListKind::changes)
-      for (auto& [id, w] : workers)
-        if (!named.contains(id)) w.info.phase = Phase::gone;
+    if (news.kind != ListKind::changes)  // whoever is absent is gone
+      for (auto& [id, w] : workers) w.info.phase = Phase::gone;
+    for (const auto& info : news.workers) learn_worker(info);
     std::erase_if(workers, [](auto& e) { return e.second.info.phase == Phase::gone && !e.second.attempts; });
+    sort_order();
     set_lanes();
   }
 
   void learn_worker(const WorkerInfo& info) {
     Worker& w = workers[info.id];
-    const Micros last_start = w.info.started;
-    w.info = info, w.info.started = last_start, w.hash = id_hash(info.id),
+    const Micros last_start = std::exchange(w.info, info).started;
+    w.info.started = last_start;
+    w.hash = id_hash(info.id, 0);
+    w.own_hash = id_hash(info.id, set.seed);
     w.of = &kinds[{info.kind, info.size}];
-    if (info.started > last_start) restarted(w, info.started);
-  }
-
-  void restarted(Worker& w, Micros at) {  // another process: nothing learnt holds for it
-    w.info.started = at;
-    w.work = w.time = w.cap = w.others = 0, w.reported.reset();
-    w.judged_until = 0, w.strikes = 0, w.unreachable = false;
+    if (info.started > last_start) w.new_process(info.started);
   }
 
-  double speed(const Worker& w) {  // own jobs there, leaning on its kind until there are some
-    if (w.of->time <= 0) return kUnknownSpeed;
-    return (w.work + mean_run * w.of->work / w.of->time) / (w.time + mean_run);
+  double speed(const Worker& w) const {  // own jobs there, leaning on its kind until there are some
+    const double lean = std::max(1.0, mean_run);
+    return (w.pace.work + lean * w.of->pace.speed(kUnknownSpeed)) / (w.pace.time + lean);
   }
 
-  // Work done in a time tells the speed; hints are noisy, so sums that fade with the time run are compared.
-  void learn_speed(Worker& w, double work, double time) {
-    const auto add = [&](auto& to, double jobs) {
-      const double keep = std::exp(-time / (jobs * mean_run));
-      to.work = to.work * keep + work, to.time = to.time * keep + time;
-    };
-    add(w, kJobMemory), add(*w.of, kKindMemory);
+  // What was done since the last news of it; hints are noisy, so sums that fade are compared. A repeat may go
+  // on from saved work, and would pass for speed.
+  void learn_pace(Worker& w, const Request& r, Attempt& a, double done) {
+    if (a.seen_start && r.attempts.size() == 1 && done > a.done) {
+      const double work = r.work * (done - a.done);
+      const auto time = static_cast<double>(now - a.heard);
+      w.pace.add(work, time, kJobMemory * mean_run);
+      w.of->pace.add(work, time, kKindMemory * mean_run);
+    }
+    a.done = std::max(a.done, done);
+    a.heard = now;
   }
 
   void learn_report(Worker& w, const Report& report) {
@@ -130,16 +107,38 @@
     w.of->slots = std::max(w.of->slots, std::round(*report.free_slots));
   }
 
-  // Slots in use by others: as seen last, fading as their jobs end; they send new ones, so over two jobs.
-  double others(const Worker& w) {
-    const double fade = std::max(1.0, kOthersJobs * mean_run);
-    const double usual = w.of->slots * late_share * std::exp(-static_cast<double>(now - late_at) / fade);
-    return usual + (w.others - usual) * std::exp(-static_cast<double>(now - w.others_at) / fade);
+  // Slots in use by others: as seen last, fading as their jobs end to what is usual in the zone.
+  double others(const Worker& w) const {
+    return usual_others(w) + w.others.left(now, kOthersJobs * mean_run);
   }
 
-  void see_start(bool late) { late_share += ((late ? 1 : 0) - late_share) / kJobMemory, late_at = now; }
+  double usual_others(const Worker& w) const {
+    const auto found = late.find(w.info.zone);
+    return found == late.end() ? 0 : w.of->slots * found->second.left(now, kOthersJobs * mean_run);
+  }
 
-  void see_others(Worker& w, double slots) { w.others = slots, w.others_at = now; }
+  void see_others(Worker& w, double slots) { w.others.see(now, slots - usual_others(w)); }
+
+  void see_start(const Worker& w, bool is_late) {
+    Fading& share = late[w.info.zone];
+    share.see(now, share.value + ((is_late ? 1 : 0) - share.value) / kJobMemory);
+  }
+
+  // Guards against a zone with more traffic than its workers can carry: it comes first only while jobs there
+  // start about as promptly as elsewhere.
+  bool own_zone_first() const {
+    const auto own = late.find(set.zone);
+    if (own == late.end()) return true;
+    return std::all_of(late.begin(), late.end(),
+                       [&](auto& zone) { return own->second.value <= zone.second.value + kZoneGap; });
+  }
+
+  double usual_wait() const { return wait.left(now, kJobMemory * mean_run); }
+
+  void see_wait(const Attempt& a) {
+    const auto seen = static_cast<double>(now - a.sent);
+    wait.see(now, wait.value + (seen - wait.value) / kJobMemory);
+  }
 
   void on(const Started& e) {
     auto [r, found] = attempt(e.id, e.attempt);
@@ -147,65 +146,37 @@
     Attempt& a = *found;
     Worker& w = workers[a.worker];
     Kind& kind = *w.of;
-    a.seen_start = true, a.started = a.heard = now;
-    --w.unstarted, w.running += r->slots;
-    if (a.late_start) --w.late_starts;
-    mean_wait += (static_cast<double>(now - a.sent) - mean_wait) / kJobMemory;
-    auto& least = start_delay[w.info.zone];
-    if (least == 0 || now - a.sent < least) least = now - a.sent;
+    a.start(now);
+    count_start(w, *r, a);
+    if (trial.id != r->id) see_wait(a);
+    see_delay(w.info.zone, now - a.sent);
     kind.slots = std::max(kind.slots, w.running);
-    if (!a.late_start) see_start(false);
-    see_others(w, a.late_start ? kind.slots - w.running : std::min(others(w), kind.slots - w.running));
-    if (set.progress_every > 0) alarm(now + quiet, Why::silence, e.id, e.attempt);
+    if (!a.late_start) see_start(w, false);
+    const double rest = kind.slots - w.running;
+    see_others(w, a.late_start ? rest : std::min(others(w), rest));
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
-    if (w.unreachable) restarted(w, now);
+    if (w.unreachable) w.new_process(now);
+    go_on_trial(*r, e.attempt, w);
   }
 
-  void on(const Progress& e) {  // a slowed worker shows by the first note, long before its jobs end
+  void on(const Progress& e) {  // a slowed worker shows long before its jobs end
     auto [r, a] = attempt(e.id, e.attempt);
     if (a != nullptr) learn_pace(workers[a->worker], *r, *a, e.done);
   }
 
-  // What was done since the last news of it. A repeat may go on from saved work, and would pass for speed.
-  void learn_pace(Worker& w, const Request& r, Attempt& a, double done) {
-    if (a.seen_start && r.attempts.size() == 1 && done > a.done)
-      learn_speed(w, r.work * (done - a.done), static_cast<double>(now - a.heard));
-    a.done = std::max(a.done, done), a.heard = now;
-  }
-
-  void on(const Probed&) {}  // none is ever asked for: see docs/design.md
+  void on(const Probed&) {}  // never asked for: see docs/design.md
   void on(const StreamBegun& e) {
     if (auto* r = attempt(e.id, e.attempt).first; r != nullptr) r->streaming = true;
   }
   void on(const Stop&) {}
 
   // ---- classify ----
-  Request* find(RequestId id) {
-    const auto found = requests.find(id);
-    return found == requests.end() ? nullptr : &found->second;
-  }
-
-  // The attempt, if it is still out: late news of ended ones change nothing.
-  std::pair<Request*, Attempt*> attempt(RequestId id, int number) {
-    auto* r = find(id);
-    if (r == nullptr || number < 0 || number >= static_cast<int>(r->attempts.size()))
-      return {nullptr, nullptr};
-    Attempt& a = r->attempts[static_cast<std::size_t>(number)];
-    return {r, a.out ? &a : nullptr};
-  }
-
   void learn_hint(Micros hint) {
-    hints.push_back(hint);
-    if (hints.size() > kHintMemory) hints.pop_front();
-    if (hints.size() < kWarmUpHints || arrivals % kHintStep != 0) return;
-    std::vector<Micros> sorted(hints.begin(), hints.end());
-    std::sort(sorted.begin(), sorted.end());
+    hints.add(hint, kHintMemory);
+    if (hints.kept.size() < kWarmUpHints || arrivals % kHintStep != 0) return;
     factor = std::min(1.0, factor * kThresholdDrift);
-    const auto at = static_cast<std::size_t>(kBigQuantile * static_cast<double>(sorted.size() - 1));
-    threshold = static_cast<double>(sorted[at]) * factor;
-    double all = 0, big = 0;
-    for (const double h : sorted) all += h, big += h > threshold ? h : 0;
-    big_share = all > 0 ? big / all : 0;
+    threshold = hints.quantile(kBigQuantile) * factor;
+    big_share = hints.work_above(threshold);
     set_lanes();
   }
 
@@ -216,71 +187,51 @@
   }
 
   bool listed(const Worker& w) const { return w.info.phase == Phase::serving; }
-
-  // A shared fault makes all look bad: above a share the judgements are void. Not so out of reach: with a
-  // whole zone down, sending there again is a storm of failed connects.
-  bool judged(const Worker& w) {
-    if (now >= w.judged_until) return false;
-    if (w.unreachable) return true;
-    double bad = 0, all = 0;
-    for (const auto& [id, v] : workers)
-      if (listed(v)) ++all, bad += now < v.judged_until ? 1 : 0;
-    return bad <= all * kJudgedMost;
-  }
+  bool judged(const Worker& w) const { return now < w.judged_until; }
 
   // The big lane: for each kind that a class needs the first workers in hash order, up to the big jobs'
   // share of the size. A lane must outlive its only worker, so judged ones are passed over.
   void set_lanes() {
-    for (auto& [id, w] : workers) w.big_lane = split = false;  // a lone worker serves both lanes
+    split = false;  // a lone worker serves both lanes
+    for (auto& [id, w] : workers) w.big_lane = false;
     std::set<std::string> needed;
     for (const auto& c : set.classes) needed.insert(c.worker_kind);
     for (const auto& kind : needed) {
       std::vector<Worker*> fit;
-      double total = 0, taken = 0;
-      for (auto& [id, w] : workers)
-        if (listed(w) && !judged(w) && (kind.empty() || kind == w.info.kind))
-          fit.push_back(&w), total += w.info.size;
+      double total = 0;
+      for (auto& [id, w] : workers) {
+        if (!listed(w) || judged(w) || (!kind.empty() && kind != w.info.kind)) continue;
+        fit.push_back(&w);
+        total += w.info.size;
+      }
       std::sort(fit.begin(), fit.end(), [](auto* a, auto* b) { return a->hash < b->hash; });
-      for (std::size_t i = 0; i + 1 < fit.size() && (i == 0 || taken < big_share * total); ++i)
-        split = fit[i]->big_lane = true, taken += fit[i]->info.size;
+      double taken = 0;
+      for (std::size_t i = 0; i + 1 < fit.size() && (i == 0 || taken < big_share * total); ++i) {
+        fit[i]->big_lane = true;
+        split = true;
+        taken += fit[i]->info.size;
+      }
     }
   }
 
-  double recent(const Tenant& t) const {
-    return t.recent * std::exp(-static_cast<double>(now - t.at) / kShareSpan);
-  }
-
-  // How much of the quotas comes through here, by the tenant in the middle: one that floods doesn't move it.
-  double usual_part() const {
-    std::vector<std::pair<double, double>> parts;
-    double all = 0, below = 0;
-    const double seen = 1 - kShareSpan * std::expm1(-static_cast<double>(now - born) / kShareSpan);
-    for (const auto& [name, t] : tenants)
-      if (t.quota > 0) parts.emplace_back(recent(t) / seen / t.quota, t.quota), all += t.quota;
-    std::sort(parts.begin(), parts.end());
-    for (const auto& [part, quota] : parts)
-      if ((below += quota) >= all / 2) return part;
-    return 0;
-  }
-
   // Guards against one tenant crowding out the rest: this instance sees a part of each tenant's traffic only,
-  // so a tenant is over its share when it sends more than the others' part of their quotas.
+  // so a tenant's own part is what the others send of their quotas. Of what goes beyond, chance picks.
   bool beyond_share(const std::string& name) {
     const auto found = tenants.find(name);
     if (found == tenants.end() || found->second.quota <= 0 || set.over_share_worth >= 1) return false;
-    Tenant& t = found->second;
-    const double span = static_cast<double>(now - t.at);
-    t.recent = recent(t) + 1, t.at = now;
-    const double allowed = kShareFirst * usual_part() * t.quota;
-    t.credit = std::min(t.credit + span * allowed, 1 + kShareBurst * allowed);
-    return t.credit < 1 || (t.credit -= 1, false);
+    Tenant& own = found->second;
+    own.recent.see(now, own.recent.left(now, kShareSpan) + 1);
+    const auto [quotas, sent] = all_tenants_but(own, kShareSpan);
+    const double part = quotas > 0 ? own.quota * sent / quotas : own.recent.value;
+    return random.uniform() * own.recent.value > kShareFirst * part + 1;
   }
 
   void on(const Arrival& a) {
     Request& r = requests[a.id];
-    static const ClassSettings unknown;
-    r.id = a.id, r.deadline = now + a.time_left, r.slots = std::max(a.slots, 1.0);
-    r.of = classes.contains(a.class_name) ? classes[a.class_name] : &unknown;
+    r.id = a.id;
+    r.deadline = now + a.time_left;
+    r.slots = std::max(a.slots, 1.0);
+    r.of = class_named(a.class_name);
     r.arrival = ++arrivals;
     r.work = a.hint ? static_cast<double>(*a.hint) : mean_run;
     if (a.hint) learn_hint(*a.hint);
@@ -297,63 +248,57 @@
   }
 
   // ---- hold ----
-  // Time still allows the aim, on a worker of the best kind and after the usual wait there.
-  bool in_time(const Request& r) const { return now + run_time(r) <= r.due; }
-
-  Micros run_time(const Request& r) const {
+  Micros run_time(const Request& r) const {  // on a worker of the best kind and after the usual wait there
     double best = 0;
-    for (const auto& [key, kind] : kinds) best = std::max(best, kind.time > 0 ? kind.work / kind.time : 0);
-    return best > 0 ? static_cast<Micros>(r.work / best + kWaitMargin * mean_wait) : 0;
+    for (const auto& [key, kind] : kinds) best = std::max(best, kind.pace.speed(0));
+    return best > 0 ? static_cast<Micros>(r.work / best + kWaitMargin * usual_wait()) : 0;
   }
 
-  void hold(Request& r) {
+  const Attempt* tie_to_group(Request& r) const {  // a keyed repeat: its group alone drops what ran before
     r.queue = {true, r.big, r.of->worker_kind, "", -1};
-    const Attempt* first = may_have_run(r);
-    if (first != nullptr && r.of->effect == Effect::keyed) {
-      r.queue.anywhere = r.of->scope == Scope::all;
-      if (r.of->scope == Scope::zone) r.queue.zone = first->zone;
-      if (r.of->scope == Scope::group) r.queue.group = first->group;
-    }
-    const bool late = !in_time(r);
+    const Attempt* first = r.may_have_run();
+    if (first == nullptr || r.of->effect != Effect::keyed) return nullptr;
+    r.queue.anywhere = r.of->scope == Scope::all;
+    if (r.of->scope == Scope::zone) r.queue.zone = first->zone;
+    if (r.of->scope == Scope::group) r.queue.group = first->group;
+    return first;
+  }
+
+  void hold(Request& r) {
+    const Attempt* first = tie_to_group(r);
+    const bool is_late = now + run_time(r) > r.due;
     // Too late for its full worth while others wait: refused at once, so that the client knows.
-    if (late && queues.contains(r.queue) && may_refuse(r)) return give_up(r);
-    r.place = {late ? 2 : r.over_share ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
+    if (is_late && may_refuse(r) && others_wait(r)) return give_up(r);
+    r.place = {is_late ? 2 : r.over_share ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
     stuck &= queues.contains(r.queue);
-    queues[r.queue][r.place] = r.id;
-    r.held = true;
-    if (r.of->effect == Effect::keyed && first != nullptr)
-      alarm(first->sent + r.of->memory, Why::hopeless, r.id);
-    if (!late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
+    enqueue(r);
+    if (first != nullptr) alarm(first->sent + r.of->memory, Why::hopeless, r.id);
+    if (!is_late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
   }
 
-  void unhold(Request& r) {
-    if (!r.held) return;
-    r.held = false;
-    stuck = false;
-    auto& queue = queues[r.queue];
-    queue.erase(r.place);
-    if (queue.empty()) queues.erase(r.queue);
+  // Here, or at a worker: there too late work takes the place of work in time, so where it is worth nothing
+  // it isn't sent. Guards against hundreds of dispatchers that keep all queues full of late jobs.
+  bool others_wait(const Request& r) const {
+    if (queues.contains(r.queue)) return true;
+    const auto waits = [](auto& e) { return e.second.late_starts > 0; };
+    return r.of->late_worth <= 0 && std::any_of(workers.begin(), workers.end(), waits);
   }
 
   // ---- pick ----
   // Free room in slots. A job sent and not started tells of a full worker long before "full" does.
-  double room(Worker& w) {
+  double room(const Worker& w) const {
     if (w.cap > 0 && w.out >= w.cap) return 0;
-    if (w.strikes > 0 && w.out > 0) return 0;  // on trial: one job at a time
     if (!set.tells_start) return room_untold(w);
     if (w.late_starts > 0) return 0;
     const double free = w.of->slots - others(w) - w.out;
-    const bool one_more = w.out >= w.of->slots && w.unstarted == 0 && now >= w.of->next_trial;
+    const bool one_more = w.out >= w.of->slots && w.waiting == 0 && now >= w.of->next_trial;
     return one_more ? std::max(free, kRoom) : free;
   }
 
   double room_untold(const Worker& w) const {
     if (w.reported) return w.out > 0 ? *w.reported : std::max(*w.reported, 1.0);  // only an answer renews it
     if (set.reports != ReportSource::answers) return 1;
-    double sum = 0, told = 0;
-    for (const auto& [id, v] : workers)
-      if (v.reported && listed(v)) sum += *v.reported, ++told;
-    return told > 0 ? sum / told - w.out : 1 - w.out;
+    return mean_report().value_or(1) - w.out;
   }
 
   bool cold(const Worker& w) const { return w.info.started > 0 && now - w.info.started < set.warm_after; }
@@ -363,53 +308,72 @@
   bool within_cold_budget(Worker& w, double work) {
     if (!cold(w) || set.overload_span <= 0) return true;
     if (now - born < set.overload_span && w.info.started < born) return false;
-    while (!w.sent.empty() && w.sent.front().first <= now - set.overload_span) w.sent.pop_front();
-    double spent = work;
-    for (const auto& [at, amount] : w.sent) spent += amount;
+    const double spent = work + w.sent_since(now - set.overload_span);
     const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
     const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
     const double capacity = w.of->slots * speed(w) * part;
-    return spent <= kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span) /
-                        std::max(1, set.fleet_size);
+    const double budget =
+        kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span);
+    return spent <= budget * cold_part(w);
+  }
+
+  // Guards against cold workers left empty: 1/400 of a budget holds no job. In a large fleet each dispatcher
+  // draws for each worker and span whether it may use 1/20; unused ones lapse.
+  double cold_part(Worker& w) {
+    const double fleet = std::max(1, set.fleet_size);
+    if (fleet <= kGrants) return 1 / fleet;
+    const Micros span = (now - w.info.started) / set.overload_span;
+    if (std::exchange(w.drawn_span, span) != span) w.granted = random.uniform() < kGrantsDrawn / fleet;
+    return w.granted ? 1.0 / kGrants : 0;
   }
 
   bool may_take(Worker& w, const Request& r) {
-    if (!listed(w) || judged(w)) return false;
-    if (!r.queue.kind.empty() && w.info.kind != r.queue.kind) return false;
-    if (!r.queue.zone.empty() && w.info.zone != r.queue.zone) return false;
-    if (r.queue.group >= 0 && w.info.group != r.queue.group) return false;
+    if (!listed(w) || judged(w) || !r.queue.names(w.info)) return false;
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
-    if (std::get<0>(r.place) < 2 && w.of->time > 0 &&
-        now + static_cast<Micros>(r.work / speed(w) + mean_wait) > r.due)
-      return false;
+    const auto end = now + static_cast<Micros>(r.work / speed(w) + usual_wait());
+    if (std::get<0>(r.place) < 2 && w.of->pace.time > 0 && end > r.due) return false;
     return within_cold_budget(w, r.work);
   }
 
-  // Most free room, then fewest own jobs, then at random; own zone first where a whole slot is free.
   Worker* best(const Request& r, bool big_lane, bool idle_only) {
+    Worker* near = own_zone_first() ? best_of(r, big_lane, idle_only, true) : nullptr;
+    return near != nullptr ? near : best_of(r, big_lane, idle_only, false);
+  }
+
+  // The first few workers in the own order, drawn by free room. Guards against knowledge older than jobs are
+  // long: among hundreds of workers each would be met too seldom, and all would rank the same ones first.
+  Worker* best_of(const Request& r, bool big_lane, bool idle_only, bool near) {
+    const double known = kKnownWorkers + kKnownPerJob * mean_out;
     Worker* chosen = nullptr;
     double top = 0;
-    bool top_near = false;
-    for (auto& [id, w] : workers) {
-      if (w.big_lane != big_lane) continue;
-      const double free = room(w);
-      if (free < kRoom * r.slots || !may_take(w, r)) continue;
-      if (idle_only && (w.out > 0 || others(w) >= kRoom)) continue;
-      const bool blind = !set.tells_start && !w.reported;  // room is a guess: fewest own jobs for the speed
-      const bool near = !blind && w.info.zone == set.zone && free >= r.slots;
-      const double draw = blind ? -(w.out + 1) / speed(w)
-                                : std::log(1e-9 + random.uniform()) / std::pow(free * speed(w), kSharp);
-      if (chosen == nullptr || near > top_near || (near == top_near && draw > top))
-        chosen = &w, top = draw, top_near = near;
+    double seen = 0;
+    for (Worker* w : order) {
+      if (w->big_lane != big_lane || (near && w->info.zone != set.zone) || !may_take(*w, r)) continue;
+      if (chosen != nullptr && seen >= known) break;
+      ++seen;
+      const double free = room(*w);
+      if (free < (near ? 1 : kRoom) * r.slots) continue;
+      if (idle_only && (w->out > 0 || others(*w) >= kRoom)) continue;
+      const double draw = rank(*w, free);
+      if (chosen != nullptr && draw <= top) continue;
+      chosen = w;
+      top = draw;
     }
     return chosen;
   }
 
+  // A draw with the odds of free capacity. Where nothing tells of room: fewest own jobs for the speed.
+  double rank(const Worker& w, double free) {
+    if (!set.tells_start && !w.reported) return -(w.out + 1) / speed(w);
+    const double capacity = w.info.size * speed(w) / w.of->pace.speed(kUnknownSpeed);
+    return std::log(1 - random.uniform()) / (capacity * free / w.of->slots);
+  }
+
   // Own lane first; then small jobs on big-lane workers no big job waits for, big ones on idle small ones.
   Worker* pick(const Request& r) {
-    if (Worker* w = best(r, r.big, false)) return w;
-    if (!r.big && std::any_of(queues.begin(), queues.end(), [](auto& q) { return q.first.big; }))
-      return nullptr;
+    Worker* own = best(r, r.big, false);
+    const auto big = [](auto& q) { return q.first.big; };
+    if (own != nullptr || (!r.big && std::any_of(queues.begin(), queues.end(), big))) return own;
     return best(r, !r.big, r.big && split);
   }
 
@@ -428,10 +392,8 @@
       }
     }
     stuck = true;
-    if (!queues.empty() && !pump_due) {
-      pump_due = true;
-      alarm(now + std::max<Micros>(static_cast<Micros>(mean_run / 8), 4 * set.tick), Why::pump);
-    }
+    if (queues.empty() || std::exchange(pump_due, true)) return;
+    alarm(now + std::max<Micros>(static_cast<Micros>(mean_run / 8), 4 * set.tick), Why::pump);
   }
 
   Micros start_limit(const Worker& w) {  // a free slot shows by then: handshakes take up to three round trips
@@ -441,54 +403,50 @@
   }
 
   void send(Request& r, Worker& w) {
-    unhold(r);
+    dequeue(r);
     if (set.tells_start && w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
-    Attempt a;
-    a.worker = w.info.id, a.zone = w.info.zone, a.group = w.info.group, a.sent = now;
-    if (set.tells_start)
-      ++w.unstarted, alarm(now + start_limit(w), Why::overdue, r.id, static_cast<int>(r.attempts.size()));
-    else a.seen_start = true, a.started = a.heard = now, w.running += r.slots;
-    r.attempts.push_back(a);
-    w.out += r.slots, ++w.attempts;
+    const auto number = static_cast<int>(r.attempts.size());
+    Attempt& a = r.attempts.emplace_back(Attempt{w.info.id, w.info.zone, w.info.group, now});
+    if (set.tells_start) {
+      alarm(now + start_limit(w), Why::overdue, r.id, number);
+      const Micros last_start = r.due - static_cast<Micros>(r.work / speed(w));
+      if (last_start > now) alarm(last_start, Why::vain, r.id, number);
+    } else {
+      a.start(now);
+    }
+    count_send(w, r, a.seen_start);
+    mean_out += (slots_out - mean_out) / kKindMemory;
     if (w.reported) *w.reported -= r.slots;
     if (cold(w)) w.sent.emplace_back(now, r.work);
     out->push_back(Send{r.id, w.info.id, 0});
   }
 
   // ---- outcome ----
-  const Attempt* may_have_run(const Request& r) const {  // the earliest such attempt
-    for (const auto& a : r.attempts)
-      if (!a.never_ran) return &a;
-    return nullptr;
-  }
-
   // Rule 2: who may be sent again. Keyed repeats only while the group still remembers the earliest.
   bool may_resend(const Request& r) const {
     if (static_cast<int>(r.attempts.size()) >= set.max_attempts) return false;
-    const Attempt* first = may_have_run(r);
+    const Attempt* first = r.may_have_run();
     if (first == nullptr || r.of->effect == Effect::safe) return true;
     return r.of->effect == Effect::keyed && now <= first->sent + r.of->memory - set.tick;
   }
 
   bool may_refuse(const Request& r) const {
-    if (r.of->effect == Effect::safe || may_have_run(r) == nullptr) return true;
+    if (r.of->effect == Effect::safe || r.may_have_run() == nullptr) return true;
     return r.of->effect == Effect::keyed && r.of->scope == Scope::all;
   }
 
-  bool is_out(const Request& r) const {
-    return std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; });
-  }
-
   void answered(Request& r) {  // cancels what is still out; the entry stays until all attempts have ended
-    unhold(r);
+    dequeue(r);
     r.answered = true;
-    for (std::size_t i = 0; i < r.attempts.size(); ++i)
-      if (r.attempts[i].out && set.may_cancel) out->push_back(Cancel{r.id, static_cast<int>(i)});
-    forget(r);
+    if (trial.id == r.id) trial = {};
+    call_off_all_but(r, -1);
+    erase_ended(r);
   }
 
-  void forget(Request& r) {
-    if (r.answered && !is_out(r)) requests.erase(r.id);
+  void call_off_all_but(const Request& r, int kept) {
+    if (!set.may_cancel) return;
+    for (int i = 0; i < static_cast<int>(r.attempts.size()); ++i)
+      if (i != kept && r.attempts[static_cast<std::size_t>(i)].out) out->push_back(Cancel{r.id, i});
   }
 
   void give_up(Request& r) {
@@ -504,7 +462,8 @@
 
   void learn_outcome(Worker& w, const Request& r, Attempt& a, Result result) {
     if (result == Result::ok) {
-      w.strikes = 0, w.judged_until = 0;
+      w.strikes = 0;
+      w.judged_until = 0;
       if (w.cap > 0) w.cap += 1;
       learn_pace(w, r, a, 1);
       if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
@@ -526,21 +485,19 @@
     Attempt& a = *found;
     Worker& w = workers[a.worker];
     a.out = false;
-    w.out -= r->slots, --w.attempts;
-    if (a.seen_start) w.running -= r->slots;
-    else --w.unstarted, w.late_starts -= a.late_start ? 1 : 0;
     a.never_ran =
         o.result == Result::full || o.result == Result::no_connection || o.result == Result::never_sent;
+    count_end(w, *r, a);
     learn_outcome(w, *r, a, o.result);
     learn_report(w, o.report);
     if (o.finished && !r->answered) answered(*r);
-    else if (r->answered) forget(*r);
+    else if (r->answered) erase_ended(*r);
     else go_on(*r);
   }
 
   // An attempt has ended without an answer: another if the rules and the time allow, else the final answer.
   void go_on(Request& r) {
-    if (r.held || is_out(r)) return;
+    if (r.held || r.any_out()) return;
     if (now >= r.deadline || !may_resend(r)) give_up(r);
     else hold(r);
   }
@@ -551,24 +508,26 @@
 
   // ---- time-out ----
   void on(const TimerFired& e) {
-    const auto found = alarms.find(e.token);
-    if (found == alarms.end()) return;
-    const Alarm a = found->second;
-    alarms.erase(found);
+    const Alarm a = take_alarm(e.token).value_or(Alarm{Why::none});
     if (a.why == Why::pump) pump_due = stuck = false;
-    if (a.why == Why::ask) asking = false, out->push_back(Subscribe{});
-    auto* r = find(a.id);
+    if (a.why == Why::ask) {
+      asking = false;
+      out->push_back(Subscribe{});
+    }
+    auto [r, tried] = attempt(a.id, a.attempt);
     if (r == nullptr || r->answered) return;
     if (a.why == Why::deadline) deadline(*r);
     if (a.why == Why::hopeless) hopeless(*r);
-    if (a.why == Why::overdue) overdue(*r, a.attempt);
-    if (a.why == Why::silence) silence(*r, a.attempt);
+    if (a.why == Why::verdict && trial.id == r->id) end_trial(*r, kRunsOn);
+    if (tried == nullptr) return;
+    if (a.why == Why::overdue) overdue(*r, *tried, a.attempt);
+    if (a.why == Why::vain) vain(*r, *tried);
   }
 
   // Rule 1: what is held is answered just before the time is up, what is out just after it at the latest.
   void deadline(Request& r) {
     if (r.streaming) return;  // the answer has begun: no deadline any more
-    if (now < r.deadline && is_out(r)) return alarm(r.deadline, Why::deadline, r.id);
+    if (now < r.deadline && r.any_out()) return alarm(r.deadline, Why::deadline, r.id);
     give_up(r);
   }
 
@@ -576,25 +535,66 @@
   void hopeless(Request& r) {
     if (r.held && !may_resend(r)) return give_up(r);
     if (!r.held || std::get<0>(r.place) > 1) return;
-    unhold(r);
+    dequeue(r);
     hold(r);
   }
 
   // Sent and not started though a free slot would have taken it at once: others use that worker.
-  void overdue(Request& r, int number) {
-    Attempt& a = r.attempts[static_cast<std::size_t>(number)];
-    if (!a.out || a.seen_start || a.late_start) return;
+  void overdue(Request& r, Attempt& a, int number) {
+    if (a.seen_start || a.late_start) return;
     Worker& w = workers[a.worker];
-    a.late_start = true, ++w.late_starts, see_start(true);
+    a.late_start = true;
+    ++w.late_starts;
     see_others(w, std::max(0.0, w.of->slots - w.running));
+    if (trial.id == r.id) return call_off_first(r, number);
+    see_start(w, true);
+    copy(r);
+  }
+
+  // Sent, not started and now too late: where it is worth nothing and a cancel stops it, it makes room.
+  void vain(Request& r, const Attempt& a) {
+    if (a.seen_start || trial.id == r.id) return;
+    see_wait(a);
+    if (evidence >= kBelieved && r.of->late_worth <= 0 && !r.any_running() && may_refuse(r)) give_up(r);
+  }
+
+  // A job that waits is sent once more where room is thought to be, and the first to start is kept. Only
+  // where cancelled work stops: elsewhere the copies would load the fleet.
+  void copy(Request& r) {
+    if (evidence < kBelieved || r.held || !may_resend(r)) return;
+    tie_to_group(r);
+    if (Worker* w = pick(r)) send(r, *w);
+  }
+
+  // Does a cancel stop work? No setting tells, so it is tried: copies of a small safe job go to one worker
+  // until one has to wait, then the first is called off. If the waiting one starts at once, it does.
+  bool fit_for_trial(const Request& r, const Worker& w) {
+    if (!set.may_copy || !set.may_cancel || evidence >= kBelieved || evidence <= kGivenUp) return false;
+    if (r.of->effect != Effect::safe || r.attempts.size() != 1 || cold(w)) return false;
+    return r.work <= mean_run && r.work > 4 * static_cast<double>(start_limit(w));
+  }
+
+  void go_on_trial(Request& r, int started, Worker& w) {
+    if (trial.id == 0 && fit_for_trial(r, w)) trial.id = r.id;
+    if (trial.id != r.id) return call_off_all_but(r, started);
+    if (started == trial.waiting) return end_trial(r, kStops);
+    if (trial.waiting < 0 && may_resend(r) && may_take(w, r)) return send(r, w);
+    end_trial(r, 0);
+  }
+
+  void call_off_first(Request& r, int waiting) {
+    if (trial.waiting >= 0) return;
+    trial.waiting = waiting;
+    if (r.out_attempt(0) == nullptr) return end_trial(r, 0);
+    out->push_back(Cancel{r.id, 0});
+    alarm(now + start_delay[r.attempts[0].zone] + 2 * set.tick, Why::verdict, r.id);
   }
 
-  // Runs and has said nothing for several progress periods: hung, dead or standing still.
-  void silence(Request& r, int number) {
-    Attempt& a = r.attempts[static_cast<std::size_t>(number)];
-    if (!a.out) return;
-    if (now < a.heard + quiet) return alarm(a.heard + quiet, Why::silence, r.id, number);
-    judge(workers[a.worker]);
+  void end_trial(const Request& r, int verdict) {
+    const int kept = std::max(0, trial.waiting);
+    evidence += verdict;
+    trial = {};
+    call_off_all_but(r, kept);
   }
 };
 
@@ -608,7 +608,8 @@
   if (std::holds_alternative<Stop>(event)) state_.reset();
   if (!state_) return;
   State& s = *state_;
-  s.now = now, s.out = &out;
+  s.now = now;
+  s.out = &out;
   std::visit([&s](const auto& e) { s.on(e); }, event);
   if (!std::holds_alternative<Arrival>(event) && !std::holds_alternative<TimerFired>(event)) s.stuck = false;
   if (!s.stuck) s.pump();  // most arrivals and timers open no room
--- a/src/records.h
+++ b/src/records.h
@@ -1,9 +1,12 @@
 // What one dispatcher remembers: plain records, no decisions. Those are all in src/decide.cpp.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <compare>
 #include <deque>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -17,7 +20,9 @@
     if (state_ == 0) state_ = 1;  // the one state that it can't leave
   }
   double uniform() {
-    state_ ^= state_ >> 12, state_ ^= state_ << 25, state_ ^= state_ >> 27;
+    state_ ^= state_ >> 12;
+    state_ ^= state_ << 25;
+    state_ ^= state_ >> 27;
     return static_cast<double>((state_ * 2685821657736338717ULL) >> 11) * 0x1.0p-53;
   }
 
@@ -25,57 +30,116 @@
   std::uint64_t state_;
 };
 
-inline std::uint64_t id_hash(const WorkerId& id) {  // FNV-1a, then mixed: the same in every instance
-  std::uint64_t h = 1469598103934665603ULL;
+inline std::uint64_t id_hash(const WorkerId& id, std::uint64_t salt) {  // FNV-1a, then mixed
+  std::uint64_t h = 1469598103934665603ULL ^ (salt * 0x9e3779b97f4a7c15ULL);
   for (unsigned char c : id) h = (h ^ c) * 1099511628211ULL;
   h ^= h >> 33;
   return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
 }
 
+struct Fading {  // a figure that fades from when it was seen last
+  double value = 0;
+  Micros at = 0;
+  double left(Micros now, double span) const {
+    return value * std::exp(-static_cast<double>(now - at) / std::max(1.0, span));
+  }
+  void see(Micros now, double seen) {
+    value = seen;
+    at = now;
+  }
+};
+
+struct Pace {  // work done and the time that it took
+  double work = 0;
+  double time = 0;
+  double speed(double unknown) const { return time > 0 ? work / time : unknown; }
+  void add(double more_work, double more_time, double span) {
+    const double keep = std::exp(-more_time / std::max(1.0, span));
+    work = work * keep + more_work;
+    time = time * keep + more_time;
+  }
+};
+
 struct Kind {  // what all workers of one kind and size have shown
-  double slots = 1, work = 0, time = 0;
+  double slots = 1;
+  Pace pace;
   Micros next_trial = 0;
 };
 
 struct Worker {
   WorkerInfo info;
-  Kind* of = nullptr;  // its kind's record, shared by all of the kind and size
-  std::uint64_t hash = 0;
+  Kind* of = nullptr;          // its kind's record, shared by all of the kind and size
+  std::uint64_t hash = 0;      // its place in the order of lanes, the same in every instance
+  std::uint64_t own_hash = 0;  // its place in this dispatcher's own order
   bool big_lane = false;
-  double out = 0, running = 0;  // own slots sent there, and of these seen to start
-  int attempts = 0;             // own attempts out there
-  int unstarted = 0;            // own attempts sent and not seen to start
-  int late_starts = 0;          // of these, how many should have started by now
-  double others = 0;            // slots in use by others, as seen at `others_at`
-  Micros others_at = 0;
+  double out = 0;                  // own slots sent there,
+  double running = 0;              // and of these seen to start
+  double waiting = 0;              // own slots not seen to start
+  int attempts = 0;                // own attempts out there
+  int late_starts = 0;             // own attempts that should have started by now
+  Fading others;                   // slots in use by others beyond the usual
   double cap = 0;                  // own slots allowed since it answered full; 0: no cap
   std::optional<double> reported;  // free slots by the last report, less own sends since
-  double work = 0, time = 0;       // of own finished jobs, for its speed
+  Pace pace;                       // of own finished jobs, for its speed
   Micros judged_until = 0;         // no work before
   int strikes = 0;                 // judgements since its last good answer
   bool unreachable = false;        // refused a connection or broke one since its last sign of life
+  Micros drawn_span = -1;          // the span, counted from its start, for which a grant was drawn
+  bool granted = false;            // while it is cold
   std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
+
+  double sent_since(Micros at) {
+    while (!sent.empty() && sent.front().first <= at) sent.pop_front();
+    double all = 0;
+    for (const auto& [when, work] : sent) all += work;
+    return all;
+  }
+  void new_process(Micros at) {  // nothing learnt holds for it
+    info.started = at;
+    pace = {};
+    others = {};
+    reported.reset();
+    cap = 0;
+    judged_until = 0;
+    strikes = 0;
+    unreachable = false;
+  }
 };
 
 struct Tenant {  // what this dispatcher sees of one tenant's traffic
-  double quota = 0, recent = 0, credit = 0;
-  Micros at = 0;
+  double quota = 0;
+  Fading recent;
 };
 
 struct Attempt {
   WorkerId worker;
   std::string zone;
   std::int64_t group = 0;
-  Micros sent = 0, started = 0, heard = 0;  // heard: the start or the last progress note
+  Micros sent = 0;
+  Micros started = 0;
+  Micros heard = 0;  // the start or the last progress note
   double done = 0;
-  bool out = true, seen_start = false, late_start = false, never_ran = false;
+  bool out = true;
+  bool seen_start = false;
+  bool late_start = false;
+  bool never_ran = false;
+  void start(Micros at) {
+    seen_start = true;
+    started = at;
+    heard = at;
+  }
 };
 
 struct QueueKey {        // requests that can use the same workers in the same order wait in one queue
   bool anywhere = true;  // false: repeats that only one group may take; they come first
   bool big = false;
-  std::string kind, zone;
+  std::string kind;
+  std::string zone;
   std::int64_t group = -1;
+  bool names(const WorkerInfo& w) const {
+    return (kind.empty() || kind == w.kind) && (zone.empty() || zone == w.zone) &&
+           (group < 0 || group == w.group);
+  }
   auto operator<=>(const QueueKey&) const = default;
 };
 
@@ -86,20 +150,194 @@
 struct Request {
   RequestId id = 0;
   const ClassSettings* of = nullptr;
-  Micros due = 0, deadline = 0;
-  double work = 0, slots = 1;
+  Micros due = 0;
+  Micros deadline = 0;
+  double work = 0;
+  double slots = 1;
   std::uint64_t arrival = 0;
-  bool big = false, over_share = false, streaming = false, answered = false, held = false;
+  bool big = false;
+  bool over_share = false;
+  bool streaming = false;
+  bool answered = false;
+  bool held = false;
   QueueKey queue;
   QueuePlace place;
   std::vector<Attempt> attempts;
+
+  bool any_out() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
+  }
+  bool any_running() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out && a.seen_start; });
+  }
+  const Attempt* may_have_run() const {  // the earliest such attempt
+    const auto found = std::find_if(attempts.begin(), attempts.end(), [](auto& a) { return !a.never_ran; });
+    return found == attempts.end() ? nullptr : &*found;
+  }
+  Attempt* out_attempt(int number) {  // the attempt, if it is still out
+    if (number < 0 || number >= static_cast<int>(attempts.size())) return nullptr;
+    Attempt& a = attempts[static_cast<std::size_t>(number)];
+    return a.out ? &a : nullptr;
+  }
 };
 
-enum class Why { deadline, overdue, silence, hopeless, pump, ask };
+struct Hints {  // the latest ones
+  std::deque<Micros> kept;
+  void add(Micros hint, std::size_t most) {
+    kept.push_back(hint);
+    if (kept.size() > most) kept.pop_front();
+  }
+  double quantile(double part) const {
+    std::vector<Micros> sorted(kept.begin(), kept.end());
+    std::sort(sorted.begin(), sorted.end());
+    return static_cast<double>(
+        sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))]);
+  }
+  double work_above(double threshold) const {  // as a share of all
+    double all = 0;
+    double above = 0;
+    for (const auto hint : kept) {
+      all += static_cast<double>(hint);
+      if (static_cast<double>(hint) > threshold) above += static_cast<double>(hint);
+    }
+    return all > 0 ? above / all : 0;
+  }
+};
+
+struct Trial {  // of what a cancel does: a request with copies at one worker
+  RequestId id = 0;
+  int waiting = -1;  // the attempt that waits for the slot of the one called off
+};
+
+enum class Why { none, deadline, overdue, vain, hopeless, verdict, pump, ask };
 struct Alarm {
   Why why;
   RequestId id = 0;
   int attempt = 0;
 };
 
+struct Memory {
+  Settings set;
+  Random random;
+  Micros now = 0;
+  Micros born = 0;
+  std::vector<Action>* out = nullptr;
+  std::map<WorkerId, Worker> workers;
+  std::vector<Worker*> order;  // this dispatcher's own, by its seed
+  std::map<std::pair<std::string, double>, Kind> kinds;
+  std::map<std::string, const ClassSettings*> classes;
+  std::map<RequestId, Request> requests;
+  std::map<QueueKey, std::map<QueuePlace, RequestId>> queues;
+  std::map<std::uint64_t, Alarm> alarms;
+  std::map<std::string, Micros> start_delay;  // least time from a send to its start note, by zone
+  std::map<std::string, Micros> longest_ttl;  // by class: a first try's
+  std::map<std::string, Fading> late;         // share of late starts, by zone
+  std::map<std::string, Tenant> tenants;
+  Hints hints;
+  std::uint64_t arrivals = 0;
+  std::uint64_t tokens = 0;
+  double threshold = 0;  // 0: unknown
+  double factor = 1;
+  double big_share = 0;
+  double mean_run = 0;
+  double slots_out = 0;  // own, over all workers
+  double mean_out = 0;
+  Fading wait;  // from a send to its start
+  Trial trial;
+  int evidence = 0;  // that a cancel stops work
+  int failed_asks = 0;
+  Micros big_full_at = 0;
+  bool asking = false;
+  bool pump_due = false;
+  bool split = false;
+  bool stuck = false;  // no room when last tried
+
+  const ClassSettings* class_named(const std::string& name) const {
+    static const ClassSettings unknown;
+    const auto found = classes.find(name);
+    return found == classes.end() ? &unknown : found->second;
+  }
+  Request* find(RequestId id) {
+    const auto found = requests.find(id);
+    return found == requests.end() ? nullptr : &found->second;
+  }
+  std::pair<Request*, Attempt*> attempt(RequestId id, int number) {  // none for one that has ended
+    Request* r = find(id);
+    return {r, r == nullptr ? nullptr : r->out_attempt(number)};
+  }
+  void alarm(Micros at, Why why, RequestId id = 0, int number = 0) {
+    alarms[++tokens] = {why, id, number};
+    out->push_back(SetTimer{std::max(at, now), tokens});
+  }
+  std::optional<Alarm> take_alarm(std::uint64_t token) {
+    const auto found = alarms.find(token);
+    if (found == alarms.end()) return std::nullopt;
+    const Alarm alarm = found->second;
+    alarms.erase(found);
+    return alarm;
+  }
+  std::pair<double, double> all_tenants_but(const Tenant& one, double span) const {
+    double quotas = 0;
+    double recent = 0;
+    for (const auto& [name, t] : tenants) {
+      if (&t == &one) continue;
+      quotas += t.quota;
+      recent += t.recent.left(now, span);
+    }
+    return {quotas, recent};
+  }
+  std::optional<double> mean_report() const {  // free slots at the listed workers that have told
+    double sum = 0;
+    double told = 0;
+    for (const Worker* w : order) {
+      if (!w->reported || w->info.phase != Phase::serving) continue;
+      sum += *w->reported;
+      ++told;
+    }
+    return told > 0 ? std::optional(sum / told) : std::nullopt;
+  }
+  void erase_ended(Request& r) {
+    if (r.answered && !r.any_out()) requests.erase(r.id);
+  }
+  void see_delay(const std::string& zone, Micros delay) {
+    const auto least = start_delay.emplace(zone, delay).first;
+    least->second = std::min(least->second, delay);
+  }
+  void sort_order() {
+    order.clear();
+    for (auto& [id, w] : workers) order.push_back(&w);
+    std::sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->own_hash < b->own_hash; });
+  }
+  void enqueue(Request& r) {
+    queues[r.queue][r.place] = r.id;
+    r.held = true;
+  }
+  void dequeue(Request& r) {
+    if (!r.held) return;
+    auto& queue = queues[r.queue];
+    queue.erase(r.place);
+    if (queue.empty()) queues.erase(r.queue);
+    r.held = false;
+    stuck = false;
+  }
+  void count_send(Worker& w, const Request& r, bool started) {
+    ++w.attempts;
+    (started ? w.running : w.waiting) += r.slots;
+    w.out += r.slots;
+    slots_out += r.slots;
+  }
+  void count_start(Worker& w, const Request& r, const Attempt& a) {
+    w.waiting -= r.slots;
+    w.running += r.slots;
+    if (a.late_start) --w.late_starts;
+  }
+  void count_end(Worker& w, const Request& r, const Attempt& a) {
+    --w.attempts;
+    (a.seen_start ? w.running : w.waiting) -= r.slots;
+    if (!a.seen_start && a.late_start) --w.late_starts;
+    w.out -= r.slots;
+    slots_out -= r.slots;
+  }
+};
+
 }  // namespace woadridge
