--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -340,12 +340,13 @@
     return near != nullptr ? near : best_of(r, big_lane, idle_only, false);
   }
 
-  // The first few workers in the own order, drawn by free room. Guards against knowledge older than jobs are
-  // long: among hundreds of workers each would be met too seldom, and all would rank the same ones first.
+  // Most free room (for the speed), then fewest own jobs, then at random, among the first few workers in the
+  // own order. Guards against knowledge older than jobs are long: among hundreds of workers each is met too
+  // seldom, and all dispatchers would rank the same ones first.
   Worker* best_of(const Request& r, bool big_lane, bool idle_only, bool near) {
     const double known = kKnownWorkers + kKnownPerJob * mean_out;
     Worker* chosen = nullptr;
-    double top = 0;
+    std::tuple<double, double, double> top{};
     double seen = 0;
     for (Worker* w : order) {
       if (w->big_lane != big_lane || (near && w->info.zone != set.zone) || !may_take(*w, r)) continue;
@@ -354,19 +355,17 @@
       const double free = room(*w);
       if (free < (near ? 1 : kRoom) * r.slots) continue;
       if (idle_only && (w->out > 0 || others(*w) >= kRoom)) continue;
-      const double draw = rank(*w, free);
-      if (chosen != nullptr && draw <= top) continue;
+      const std::tuple by{rank(*w, free), -w->out, random.uniform()};
+      if (chosen != nullptr && by <= top) continue;
       chosen = w;
-      top = draw;
+      top = by;
     }
     return chosen;
   }
 
-  // A draw with the odds of free capacity. Where nothing tells of room: fewest own jobs for the speed.
-  double rank(const Worker& w, double free) {
-    if (!set.tells_start && !w.reported) return -(w.out + 1) / speed(w);
-    const double capacity = w.info.size * speed(w) / w.of->pace.speed(kUnknownSpeed);
-    return std::log(1 - random.uniform()) / (capacity * free / w.of->slots);
+  double rank(const Worker& w, double free) const {  // blind: fewest own jobs for the speed
+    const bool blind = !set.tells_start && !w.reported;
+    return blind ? -(w.out + 1) / speed(w) : free * speed(w);
   }
 
   // Own lane first; then small jobs on big-lane workers no big job waits for, big ones on idle small ones.
