--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -4,7 +4,6 @@
 #include "decide.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 #include "records.h"
@@ -26,6 +25,7 @@
 constexpr double kKnownWorkers = 4;    // workers that a dispatcher keeps to in each lane and zone ...
 constexpr double kKnownPerJob = 1.4;   // ... and so many more for each own job out
 constexpr double kZoneGap = 0.1;     // the own zone comes first until its late share is so far above others'
+constexpr double kShort = 0.85;      // share of late starts in every zone at which the fleet is short
 constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
 constexpr int kGrants = 20;          // a granted dispatcher may use 1/20 of a cold budget, and on average ...
 constexpr double kGrantsDrawn = 3;   // ... three have a grant: docs/design.md has the bound
@@ -145,14 +145,13 @@
     if (found == nullptr || found->seen_start) return;
     Attempt& a = *found;
     Worker& w = workers[a.worker];
-    Kind& kind = *w.of;
     a.start(now);
     count_start(w, *r, a);
     if (trial.id != r->id) see_wait(a);
     see_delay(w.info.zone, now - a.sent);
-    kind.slots = std::max(kind.slots, w.running);
+    w.of->slots = std::max(w.of->slots, w.running);
     if (!a.late_start) see_start(w, false);
-    const double rest = kind.slots - w.running;
+    const double rest = w.of->slots - w.running;
     see_others(w, a.late_start ? rest : std::min(others(w), rest));
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
     if (w.unreachable) w.new_process(now);
@@ -164,11 +163,10 @@
     if (a != nullptr) learn_pace(workers[a->worker], *r, *a, e.done);
   }
 
-  void on(const Probed&) {}  // never asked for: see docs/design.md
   void on(const StreamBegun& e) {
     if (auto* r = attempt(e.id, e.attempt).first; r != nullptr) r->streaming = true;
   }
-  void on(const Stop&) {}
+  void on(const auto&) {}  // Stop, and Probed: no probe is asked for, see docs/design.md
 
   // ---- classify ----
   void learn_hint(Micros hint) {
@@ -276,12 +274,15 @@
     if (!is_late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
   }
 
-  // Here, or at a worker: there too late work takes the place of work in time, so where it is worth nothing
-  // it isn't sent. Guards against hundreds of dispatchers that keep all queues full of late jobs.
+  // Here, or at a worker: there late work takes the place of work in time. Guards against hundreds of
+  // dispatchers that keep all queues full of late jobs; what a late answer still earns is given up only while
+  // the fleet is short, so that nearly all starts are late.
   bool others_wait(const Request& r) const {
     if (queues.contains(r.queue)) return true;
+    const bool is_short =
+        std::all_of(late.begin(), late.end(), [](auto& l) { return l.second.value > kShort; });
     const auto waits = [](auto& e) { return e.second.late_starts > 0; };
-    return r.of->late_worth <= 0 && std::any_of(workers.begin(), workers.end(), waits);
+    return (r.of->late_worth <= 0 || is_short) && std::any_of(workers.begin(), workers.end(), waits);
   }
 
   // ---- pick ----
