--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -25,7 +25,7 @@
 constexpr double kKnownWorkers = 4;    // workers that a dispatcher keeps to in each lane and zone ...
 constexpr double kKnownPerJob = 1.4;   // ... and so many more for each own job out
 constexpr double kZoneGap = 0.1;     // the own zone comes first until its late share is so far above others'
-constexpr double kShort = 0.85;      // share of late starts in every zone at which the fleet is short
+constexpr double kShort = 0.75;      // share of late starts in every zone at which the fleet is short
 constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
 constexpr int kGrants = 20;          // a granted dispatcher may use 1/20 of a cold budget, and on average ...
 constexpr double kGrantsDrawn = 3;   // ... three have a grant: docs/design.md has the bound
@@ -184,8 +184,7 @@
     else if (now - big_full_at > kFirstTrial) factor = std::max(kThresholdFloor, factor * kThresholdFall);
   }
 
-  bool listed(const Worker& w) const { return w.info.phase == Phase::serving; }
-  bool judged(const Worker& w) const { return now < w.judged_until; }
+  bool usable(const Worker& w) const { return w.info.phase == Phase::serving && now >= w.judged_until; }
 
   // The big lane: for each kind that a class needs the first workers in hash order, up to the big jobs'
   // share of the size. A lane must outlive its only worker, so judged ones are passed over.
@@ -198,7 +197,7 @@
       std::vector<Worker*> fit;
       double total = 0;
       for (auto& [id, w] : workers) {
-        if (!listed(w) || judged(w) || (!kind.empty() && kind != w.info.kind)) continue;
+        if (!usable(w) || (!kind.empty() && kind != w.info.kind)) continue;
         fit.push_back(&w);
         total += w.info.size;
       }
@@ -329,7 +328,7 @@
   }
 
   bool may_take(Worker& w, const Request& r) {
-    if (!listed(w) || judged(w) || !r.queue.names(w.info)) return false;
+    if (!usable(w) || !r.queue.names(w.info)) return false;
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
     const auto end = now + static_cast<Micros>(r.work / speed(w) + usual_wait());
     if (std::get<0>(r.place) < 2 && w.of->pace.time > 0 && end > r.due) return false;
@@ -469,6 +468,7 @@
       if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
     } else if (result == Result::full) {
       see_full(w);
+      see_start(w, true);
       // Full without a job of ours: it drains unannounced or others fill it, so it rests and is tried again.
       if (w.out > 0) w.cap = w.out;
       else judge(w);
