--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -803,6 +803,22 @@
   EXPECT_EQ(rig.sends(id).size(), 1u);
 }
 
+// A trial's copy once went to a worker that was listed as draining by then.
+TEST(Copies, NoTrialOnAWorkerThatDrains) {
+  Rig rig(copying());
+  rig.workers(boxes(10));
+  rig.serve(rig.ask());
+  rig.pass(5 * kSecond);
+  const auto id = rig.ask();
+  auto draining = worker(rig.sent_to(id).at(0));
+  draining.phase = Phase::draining;
+  rig.workers({draining}, ListKind::changes);
+  rig.now += kMs;
+  rig.give(Started{id, 0});
+  rig.pass(kSecond);
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+}
+
 TEST(Copies, NeverWhereTwoAttemptsMayNotBeOutTogether) {
   auto settings = copying();
   settings.may_copy = false;
