--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -80,7 +80,8 @@
     w.hash = id_hash(info.id, 0);
     w.own_hash = id_hash(info.id, set.seed);
     w.of = &kinds[{info.kind, info.size}];
-    late[info.zone];
+    w.zone_late = &late[info.zone];
+    w.near = info.zone == set.zone;
     if (info.started > last_start) w.new_process(info.started);
   }
 
@@ -114,8 +115,7 @@
   }
 
   double usual_others(const Worker& w) const {
-    const auto found = late.find(w.info.zone);
-    return found == late.end() ? 0 : w.of->slots * found->second.left(now, kOthersJobs * mean_run);
+    return w.of->slots * w.zone_late->left(now, kOthersJobs * mean_run);
   }
 
   void see_others(Worker& w, double slots) { w.others.see(now, slots - usual_others(w)); }
@@ -349,7 +349,7 @@
     std::tuple<double, double, double> top{};
     double seen = 0;
     for (Worker* w : order) {
-      if (w->big_lane != big_lane || (near && w->info.zone != set.zone) || !may_take(*w, r)) continue;
+      if (w->big_lane != big_lane || (near && !w->near) || !may_take(*w, r)) continue;
       if (chosen != nullptr && seen >= known) break;
       ++seen;
       const double free = room(*w);
--- a/src/records.h
+++ b/src/records.h
@@ -41,7 +41,8 @@
   double value = 0;
   Micros at = 0;
   double left(Micros now, double span) const {
-    return value * std::exp(-static_cast<double>(now - at) / std::max(1.0, span));
+    const double spans = static_cast<double>(now - at) / std::max(1.0, span);
+    return value == 0 || spans > 40 ? 0 : value * std::exp(-spans);  // e^-40 is nothing, and slow to compute
   }
   void see(Micros now, double seen) {
     value = seen;
@@ -68,9 +69,11 @@
 
 struct Worker {
   WorkerInfo info;
-  Kind* of = nullptr;          // its kind's record, shared by all of the kind and size
-  std::uint64_t hash = 0;      // its place in the order of lanes, the same in every instance
-  std::uint64_t own_hash = 0;  // its place in this dispatcher's own order
+  Kind* of = nullptr;                 // its kind's record, shared by all of the kind and size
+  const Fading* zone_late = nullptr;  // its zone's share of late starts
+  bool near = false;                  // in the dispatcher's own zone
+  std::uint64_t hash = 0;             // its place in the order of lanes, the same in every instance
+  std::uint64_t own_hash = 0;         // its place in this dispatcher's own order
   bool big_lane = false;
   double out = 0;                  // own slots sent there,
   double running = 0;              // and of these seen to start
