--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -103,12 +103,6 @@
     a.heard = now;
   }
 
-  void learn_report(Worker& w, const Report& report) {
-    if (!report.free_slots) return;
-    w.reported = *report.free_slots;
-    w.of->slots = std::max(w.of->slots, std::round(*report.free_slots));
-  }
-
   // Slots in use by others: as seen last, fading as their jobs end to what is usual in the zone.
   double others(const Worker& w) const {
     return usual_others(w) + w.others.left(now, kOthersJobs * mean_run);
@@ -489,7 +483,7 @@
         o.result == Result::full || o.result == Result::no_connection || o.result == Result::never_sent;
     count_end(w, *r, a);
     learn_outcome(w, *r, a, o.result);
-    learn_report(w, o.report);
+    w.learn_report(o.report);
     if (o.finished && !r->answered) answered(*r);
     else if (r->answered) erase_ended(*r);
     else go_on(*r);
@@ -506,6 +500,12 @@
     if (auto* r = find(e.id); r != nullptr && !r->answered) answered(*r);
   }
 
+  // Guards against jobs lost with the process: refused where that is harmless, else failed.
+  void on(const Ending&) {
+    for (auto at = requests.begin(); at != requests.end();)
+      if (Request& r = (at++)->second; !r.answered) give_up(r);
+  }
+
   // ---- time-out ----
   void on(const TimerFired& e) {
     const Alarm a = take_alarm(e.token).value_or(Alarm{Why::none});
--- a/src/decide.h
+++ b/src/decide.h
@@ -88,7 +88,8 @@
 struct Start {
   Settings settings;
 };
-struct Stop {};  // killed: everything is forgotten
+struct Stop {};    // killed: everything is forgotten
+struct Ending {};  // about to be killed: what is open must be answered now
 struct WorkerList {
   ListKind kind = ListKind::full;
   std::vector<WorkerInfo> workers;
@@ -135,7 +136,7 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<Start, Stop, WorkerList, Arrival, Outcome, Started, Progress, StreamBegun,
+using Event = std::variant<Start, Stop, Ending, WorkerList, Arrival, Outcome, Started, Progress, StreamBegun,
                            ClientLeft, Probed, TimerFired>;
 
 struct Send {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <string>
+#include <variant>
 
 #include "net/log.h"
 #include "net/service.h"
@@ -20,5 +22,11 @@
     return 2;
   }
   woadridge::net::open_log();
-  return woadridge::net::Service(std::move(std::get<woadridge::net::Config>(config))).run();
+  woadridge::net::Service service(std::move(std::get<woadridge::net::Config>(config)));
+  if (const std::string fault = service.open(); !fault.empty()) {
+    std::cerr << "woadridge: cannot listen on " << fault << "\n";
+    return 1;
+  }
+  service.run();
+  return 0;
 }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -6,7 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <deque>
 #include <fstream>
-#include <iterator>
+#include <sstream>
 
 namespace woadridge::net {
 namespace {
@@ -206,10 +206,11 @@
 }
 
 std::variant<Config, ConfigFault> load_config(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
-  if (!file.is_open() || file.bad()) return ConfigFault{path + ": cannot be read"};
-  auto read = read_config(text);
+  const std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file.is_open() || !text) return ConfigFault{path + ": cannot be read"};
+  auto read = read_config(text.str());
   if (auto* fault = std::get_if<ConfigFault>(&read)) fault->message = path + ": " + fault->message;
   return read;
 }
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -323,7 +323,9 @@
 
 // ---- the end ----
 
-void Engine::answer_all() {}
+void Engine::answer_all() {
+  if (unanswered_ > 0) give(Ending{});
+}
 
 void Engine::stop() {
   if (std::exchange(stopped_, true)) return;
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -221,6 +222,11 @@
   intake_.closed(*this);
 }
 
+bool ClientConnection::has_unread() {
+  char byte = 0;
+  return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void ClientConnection::drop_if_slow(Micros now) {
   const Micros spent = now - since_;
   if (stage_ == Stage::reading && spent > (reader_.untouched() ? kIdleLongest : kSlowest)) close();
@@ -245,6 +251,7 @@
   if (!fault) acceptor_.set_option(Acceptor::reuse_address(true), fault);  // a restart binds at once
   if (!fault) acceptor_.bind(where, fault);
   if (!fault) acceptor_.listen(Acceptor::max_listen_connections, fault);
+  if (!fault) acceptor_.non_blocking(true, fault);
   if (fault) {
     acceptor_.close();
     return address.host + ":" + std::to_string(address.port) + ": " + fault.message();
@@ -254,28 +261,41 @@
   return {};
 }
 
+std::uint16_t Intake::port() const {
+  Fault ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
 void Intake::accept() {
+  if (!acceptor_.is_open()) return;
+  acceptor_.async_wait(Acceptor::wait_read, [this](Fault fault) {
+    if (!fault) take_in();
+  });
+}
+
+// Room is made only once someone is there.
+void Intake::take_in() {
   if (!acceptor_.is_open()) return;
   paused_ = !make_room();
   if (paused_) return;
-  acceptor_.async_accept([this](Fault fault, Socket socket) { accepted(fault, std::move(socket)); });
+  Fault fault;
+  Socket socket(strand_);
+  acceptor_.accept(socket, fault);
+  if (!fault) accepted(std::move(socket));
+  if (!fault || fault == boost::asio::error::would_block) return accept();
+  spdlog::warn("no connection accepted: {}", fault.message());
+  again_.expires_after(kAcceptAgain);
+  again_.async_wait([this](Fault cancelled) {
+    if (!cancelled) accept();
+  });
 }
 
-void Intake::accepted(Fault fault, Socket socket) {
-  if (!acceptor_.is_open()) return;
-  if (fault) {
-    spdlog::warn("no connection accepted: {}", fault.message());
-    again_.expires_after(kAcceptAgain);
-    return again_.async_wait([this](Fault cancelled) {
-      if (!cancelled) accept();
-    });
-  }
+void Intake::accepted(Socket socket) {
   Fault ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
   const auto connection = std::make_shared<ClientConnection>(*this, std::move(socket));
   connection->place_ = connections_.insert(connections_.end(), connection);
   connection->start();
-  accept();
 }
 
 // At the clients' share of the descriptors the connection that is idle longest goes; without one, accepting
@@ -293,7 +313,10 @@
 
 void Intake::closed(ClientConnection& connection) {
   connections_.erase(connection.place_);
-  if (paused_ && !stopped_) accept();
+  if (paused_ && !stopped_) {
+    paused_ = false;
+    accept();
+  }
 }
 
 void Intake::sweep() {
@@ -301,7 +324,7 @@
   const Micros now = engine_.clock().now();
   const std::list<std::shared_ptr<ClientConnection>> all = connections_;
   for (const auto& connection : all) connection->drop_if_slow(now);
-  if (paused_) accept();  // one of them may be idle by now
+  if (std::exchange(paused_, false)) accept();  // one of them may be idle by now
   sweeper_.expires_after(kSweepEvery);
   sweeper_.async_wait([this](Fault fault) {
     if (!fault) sweep();
@@ -310,24 +333,24 @@
 
 void Intake::begin_ending() {
   ending_ = true;
-  close_idle();
+  close_idle(0);
 }
 
-void Intake::close_idle() {
+void Intake::close_idle(Micros at_least) {
+  const Micros latest = engine_.clock().now() - at_least;
   const std::list<std::shared_ptr<ClientConnection>> all = connections_;
   for (const auto& connection : all)
-    if (connection->idle()) connection->close();
+    if (connection->idle() && connection->since() <= latest && !connection->has_unread()) connection->close();
 }
 
 // What the system has accepted counts as ours: it is taken in before the listener closes.
 void Intake::stop_listening() {
   if (!acceptor_.is_open()) return;
   Fault fault;
-  acceptor_.non_blocking(true, fault);
   while (!fault) {
     Socket socket(strand_);
     acceptor_.accept(socket, fault);
-    if (!fault) accepted(fault, std::move(socket));
+    if (!fault) accepted(std::move(socket));
   }
   acceptor_.close(fault);
 }
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -25,6 +25,7 @@
   void close();
   void drop_if_slow(Micros now);
   bool idle() const { return stage_ == Stage::reading && reader_.untouched(); }
+  bool has_unread();  // asks the system: a request that is there is taken, not cut off
   Micros since() const { return since_; }
 
  private:
@@ -63,9 +64,10 @@
 
   // An empty text, or why the address can't be listened on.
   std::string listen(const Address& address);
+  std::uint16_t port() const;
   void begin_ending();  // health turns 503, answers close their connections
   void stop_listening();
-  void close_idle();
+  void close_idle(Micros at_least);  // those that have been idle for so long and have sent nothing
   bool idle() const { return connections_.empty(); }
   void stop();
 
@@ -73,7 +75,8 @@
   friend class ClientConnection;
 
   void accept();
-  void accepted(Fault fault, Socket socket);
+  void take_in();
+  void accepted(Socket socket);
   bool make_room();
   void closed(ClientConnection& connection);
   void sweep();
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -16,7 +16,8 @@
 // is left is answered well before.
 constexpr Micros kLongestWait = 3'000'000;
 constexpr Micros kAfterDeadline = 300'000;
-constexpr Micros kLastAnswers = 200'000;  // for the clients to take them
+constexpr Micros kLastAnswers = 200'000;   // for the clients to take them
+constexpr Micros kFirstRequest = 100'000;  // for a new connection to bring its request
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -29,29 +30,28 @@
       signals_(io_, SIGTERM, SIGINT),
       timer_(strand_) {}
 
-int Service::run() {
-  std::string fault;
-  boost::asio::post(strand_, [&] {
-    engine_.start();
-    fault = intake_.listen(config_.listen);
-    if (!fault.empty()) return finish();
-    spdlog::info("{} listens on {}:{} with {} workers known", config_.name, config_.listen.host,
-                 config_.listen.port, config_.known.entries.size());
-    await_signals();
+std::string Service::open() {
+  engine_.start();
+  std::string fault = intake_.listen(config_.listen);
+  if (!fault.empty()) return fault;
+  spdlog::info("{} listens on {}:{} with {} workers known", config_.name, config_.listen.host, port(),
+               config_.known.entries.size());
+  signals_.async_wait([this](Fault cancelled, int) {
+    if (!cancelled) end();
   });
+  return {};
+}
+
+void Service::run() {
   io_.run();
-  if (fault.empty()) return 0;
-  spdlog::error("cannot listen on {}", fault);
-  return 1;
 }
 
-void Service::await_signals() {
-  signals_.async_wait(boost::asio::bind_executor(strand_, [this](Fault fault, int) {
-    if (!fault) begin_ending();
-  }));
+void Service::end() {
+  boost::asio::post(strand_, [this] { begin_ending(); });
 }
 
 void Service::begin_ending() {
+  if (told_to_end_ != 0) return;
   told_to_end_ = engine_.clock().now();
   spdlog::info("told to end: {} requests to be answered", engine_.unanswered());
   intake_.begin_ending();
@@ -63,7 +63,7 @@
   const Micros patience = std::min(config_.network.longest_deadline, kLongestWait) + kAfterDeadline;
   if (gone >= kStillListening) {
     intake_.stop_listening();
-    intake_.close_idle();
+    intake_.close_idle(kFirstRequest);
     if (intake_.idle() || gone >= patience + kLastAnswers) return finish();
     if (gone >= patience) engine_.answer_all();
   }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -1,7 +1,6 @@
 // One dispatcher as a process: its parts, its signals, and how it ends.
 #pragma once
 
-#include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
@@ -12,10 +11,12 @@
 class Service {
  public:
   explicit Service(Config config);
-  int run();  // the exit status
+  std::string open();  // begins to listen; an empty text, or why that is not possible
+  void run();          // until it was told to end, and has
+  void end();          // from any thread
+  std::uint16_t port() const { return intake_.port(); }
 
  private:
-  void await_signals();
   void begin_ending();
   void go_on_ending();
   void finish();
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -90,14 +90,12 @@
     end_.reached = Reached::connected;
     guarded([this] { write(); });
   } else {
-    guarded([this] { run({}, 0); });
+    guarded([this] { run({}); });
   }
 }
 
-void WorkerConnection::run(Fault fault, std::size_t bytes) {
-  const auto resume = [self = shared_from_this()](Fault f, std::size_t n = 0) {
-    self->guarded([&] { self->run(f, n); });
-  };
+void WorkerConnection::run(Fault fault) {
+  const auto resume = [self = shared_from_this()](Fault f) { self->guarded([&] { self->run(f); }); };
   reenter(this) {
     connect();
     yield socket_.async_connect(peer_, resume);
@@ -105,23 +103,13 @@
     if (fault) return broke();
     connected_ = true;
     socket_.set_option(Tcp::no_delay(true));
+    socket_.non_blocking(true);
     end_.reached = Reached::connected;
     write();
     while (!closed_) {
-      yield {
-        const auto room = reader_.room();
-        if (room.empty()) return broke();  // a line longer than any that we know
-        socket_.async_read_some(boost::asio::buffer(room.data(), room.size()), resume);
-      }
-      if (fault) {
-        reader_.ended();
-        if (task_ != Task::none) digest();
-        if (!closed_) broke();
-        return;
-      }
-      if (idle()) return broke();  // nobody asked: not a connection to trust
-      reader_.arrived(bytes);
-      digest();
+      yield socket_.async_wait(Socket::wait_read, resume);
+      if (!fault) read(fault);
+      if (fault) return ended();
     }
   }
 }
@@ -134,36 +122,51 @@
   });
 }
 
+// What the system takes is counted at once: were the count left to a later callback, a close that is read
+// before it would pass for one before the last byte, and claim that the job never ran.
 void WorkerConnection::write() {
-  if (closed_) return;
-  writing_ = true;
-  std::array<boost::asio::const_buffer, 2> parts;
-  if (sent_ < head_.size()) {
-    parts[0] = boost::asio::buffer(head_.data() + sent_, head_.size() - sent_);
-    parts[1] = boost::asio::buffer(body_.data(), body_.size());
-  } else {
-    const std::size_t gone = sent_ - head_.size();
-    parts[0] = boost::asio::buffer(body_.data() + gone, body_.size() - gone);
+  const std::size_t whole = head_.size() + body_.size();
+  Fault fault;
+  while (!fault && sent_ < whole) sent_ += socket_.write_some(unsent(), fault);
+  if (fault == boost::asio::error::would_block) {
+    return socket_.async_wait(Socket::wait_write, [self = shared_from_this()](Fault cancelled) {
+      if (!cancelled) self->guarded([&] { self->write(); });
+    });
   }
-  socket_.async_write_some(parts, [self = shared_from_this()](Fault fault, std::size_t bytes) {
-    self->guarded([&] { self->written(fault, bytes); });
-  });
-}
-
-void WorkerConnection::written(Fault fault, std::size_t bytes) {
-  writing_ = false;
-  if (fault) return broke();
-  sent_ += bytes;
-  if (sent_ < head_.size() + body_.size()) return write();
+  if (sent_ < whole) return broke();
   end_.reached = std::max(end_.reached, Reached::all_written);
   body_held_.reset();
   body_ = {};
   if (reader_.state() != HttpReader::State::head) digest();
 }
 
+std::array<boost::asio::const_buffer, 2> WorkerConnection::unsent() const {
+  if (sent_ < head_.size())
+    return {boost::asio::buffer(head_.data() + sent_, head_.size() - sent_), boost::asio::buffer(body_)};
+  const std::size_t gone = sent_ - head_.size();
+  return {boost::asio::buffer(body_.substr(gone)), boost::asio::const_buffer()};
+}
+
+void WorkerConnection::read(Fault& fault) {
+  const auto room = reader_.room();
+  if (room.empty()) return broke();  // a line longer than any that we know
+  const std::size_t bytes = socket_.read_some(boost::asio::buffer(room.data(), room.size()), fault);
+  if (fault == boost::asio::error::would_block) fault = {};
+  if (fault || bytes == 0) return;
+  if (idle()) return broke();  // nobody asked: not a connection to trust
+  reader_.arrived(bytes);
+  digest();
+}
+
+void WorkerConnection::ended() {
+  reader_.ended();
+  if (task_ != Task::none) digest();
+  broke();
+}
+
 void WorkerConnection::digest() {
   if (reader_.state() == HttpReader::State::failed) return broke();
-  if (reader_.state() == HttpReader::State::head || writing_) return;
+  if (reader_.state() == HttpReader::State::head || end_.reached < Reached::all_written) return;
   if (!status_seen_) digest_status();
   if (!closed_ && end_.status == 200 && task_ == Task::job) digest_lines();
   if (!closed_ && reader_.state() == HttpReader::State::complete) message_complete();
@@ -232,8 +235,7 @@
     task_ = Task::none;
     pool_.carrying_.erase(key_);
     pool_.events_.attempt_ended(key_, std::move(end_));
-    end_ = {};
-    end_.status = reader_.status();
+    end_.reached = Reached::last_line;
   } else if (task == Task::probe) {
     pool_.events_.probe_ended(worker_, pool_.clock_.now() - probe_sent_, end_.status == 200);
   }
--- a/src/net/workers.h
+++ b/src/net/workers.h
@@ -76,11 +76,12 @@
 
   bool idle() const { return task_ == Task::none && reader_.state() == HttpReader::State::head; }
   void begin();
-  void run(Fault fault, std::size_t bytes);
+  void run(Fault fault);
   void connect();
-  void connect_overdue();
   void write();
-  void written(Fault fault, std::size_t bytes);
+  std::array<boost::asio::const_buffer, 2> unsent() const;
+  void read(Fault& fault);
+  void ended();
   void digest();
   void digest_status();
   void digest_lines();
@@ -110,7 +111,6 @@
   Micros idle_since_ = 0;
   bool connected_ = false;
   bool closed_ = false;
-  bool writing_ = false;
   bool fresh_ = true;  // has carried nothing before
   bool status_seen_ = false;
   std::list<std::shared_ptr<WorkerConnection>>::iterator place_;  // in the pool's book
--- a/src/records.h
+++ b/src/records.h
@@ -97,6 +97,11 @@
     for (const auto& [when, work] : sent) all += work;
     return all;
   }
+  void learn_report(const Report& report) {
+    if (!report.free_slots) return;
+    reported = *report.free_slots;
+    of->slots = std::max(of->slots, std::round(*report.free_slots));
+  }
   void new_process(Micros at) {  // nothing learnt holds for it
     info.started = at;
     pace = {};
--- /dev/null
+++ b/tests/service_test.cpp
@@ -0,0 +1,382 @@
+// Whole dispatchers on loopback, between clients, workers and a discovery that the tests play.
+#include "net/service.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "net_rig.h"
+
+namespace woadridge::net::test {
+namespace {
+
+Settings settings_of_tests() {
+  Settings s;
+  s.seed = 7;
+  s.zone = "a";
+  s.tick = 2'000;
+  s.max_attempts = 3;
+  s.tells_start = true;
+  s.may_cancel = true;
+  s.may_hold_off = true;
+  s.max_hold_off = 1'250'000;
+  s.connect_timeout = 5'000'000;
+  s.drain_grace = 1'000'000;
+  s.list_mode = ListMode::pushed;  // the engine keeps the watch
+  for (const auto effect : {Effect::safe, Effect::keyed, Effect::unsafe}) {
+    ClassSettings c;
+    c.name = effect == Effect::safe ? "safe" : effect == Effect::keyed ? "keyed" : "unsafe";
+    c.effect = effect;
+    c.scope = Scope::zone;
+    c.memory = 3'000'000, c.aim = 9'000'000, c.deadline = 20'000'000, c.late_worth = 0.5;
+    s.classes.push_back(c);
+  }
+  return s;
+}
+
+class ServiceTest : public ::testing::Test {
+ protected:
+  ServiceTest() {
+    config_.name = "n0";
+    config_.listen = {"127.0.0.1", 0};
+    config_.discovery = {"127.0.0.1", discovery_.port()};
+    config_.sockets = 1024;
+    config_.settings = settings_of_tests();
+    config_.network = {10'000'000, 20'000'000};
+    know("w", worker_.port());
+  }
+  ~ServiceTest() override { stop(); }
+
+  void know(const std::string& name, std::uint16_t port) {
+    Member m;
+    m.info.id = name, m.info.kind = "box", m.info.zone = "a";
+    m.address = Address{"127.0.0.1", port};
+    config_.known.entries.push_back(m);
+  }
+
+  void start() {
+    service_.emplace(config_);
+    ASSERT_EQ(service_->open(), "");
+    port_ = service_->port();
+    thread_ = std::thread([this] { service_->run(); });
+  }
+
+  void end() { service_->end(); }
+  void await_end() {
+    if (thread_.joinable()) thread_.join();
+  }
+  void stop() {
+    if (!thread_.joinable()) return;
+    end();
+    await_end();
+  }
+
+  Peer client() { return Peer::connect(port_); }
+
+  static std::string job(const std::string& id, const std::string& of_class = "safe", int timeout_ms = 15'000,
+                         const std::string& body = "work") {
+    std::string text = "POST /api HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: " + of_class;
+    if (of_class == "keyed") text += "\r\nIdempotency-Key: k" + id;
+    return text + "\r\nWork-Hint: 1000\r\nRequest-Timeout-Ms: " + std::to_string(timeout_ms) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  std::string ask(const std::string& text) {
+    Peer peer = client();
+    peer.write(text);
+    return peer.read_message();
+  }
+
+  static void serve_one(Peer& peer, const std::string& result = "r") {
+    const std::string id = number_after(peer.read_message(), "Request-Id: ");
+    peer.write(taken() + chunk(line(id, "started")) + chunk(done(id, result)) + "0\r\n\r\n");
+  }
+
+  Listener worker_;
+  Listener discovery_;
+  Config config_;
+  std::optional<Service> service_;
+  std::thread thread_;
+  std::uint16_t port_ = 0;
+};
+
+TEST_F(ServiceTest, AJobGoesToAWorkerAndItsResultComesBack) {
+  start();
+  Peer peer = client();
+  for (int i = 1; i <= 2; ++i) {
+    peer.write(job(std::to_string(i)));
+    if (i == 1) {
+      Peer w = worker_.accept();
+      serve_one(w, "caf\\u00e9");
+      EXPECT_EQ(peer.read_message(), "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncaf\xc3\xa9");
+      peer.write(job("7"));
+      serve_one(w, "again");
+      EXPECT_TRUE(peer.read_message().ends_with("again"));
+    }
+  }
+}
+
+TEST_F(ServiceTest, HealthNeedsAListAndAnEndTurnsIt) {
+  start();
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+  Peer peer = client();
+  peer.write(job("1"));
+  Peer w = worker_.accept();
+  w.read_message();
+  end();
+  std::string health;
+  do health = ask("GET /_health HTTP/1.1\r\n\r\n");
+  while (health.starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(health.starts_with("HTTP/1.1 503 ")) << health;
+  EXPECT_NE(health.find("Connection: close"), std::string::npos);
+  w.write(taken() + chunk(done("1", "late")) + "0\r\n\r\n");
+  const std::string answer = peer.read_message();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+  await_end();
+}
+
+TEST_F(ServiceTest, WithoutAListItIsNotHealthyUntilDiscoveryNamesAWorker) {
+  config_.known.entries.clear();
+  start();
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503 "));
+  Peer watch = discovery_.accept();
+  watch.read_until("\r\n\r\n");
+  watch.write(taken() + chunk("{\"index\":2,\"snapshot\":true,\"endpoints\":[{\"name\":\"w\",\"address\":\"" +
+                              worker_.address() + "\",\"zone\":\"a\",\"status\":\"ready\"}]}\n"));
+  Peer peer = client();
+  peer.write(job("1"));
+  Peer w = worker_.accept();
+  serve_one(w);
+  EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(ServiceTest, WhatIsNoRequestForAJobIsAnsweredPlainly) {
+  start();
+  EXPECT_TRUE(ask("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 404 "));
+  EXPECT_TRUE(ask("GET /api HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 405 "));
+  EXPECT_TRUE(ask("POST /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 405 "));
+  EXPECT_TRUE(ask(job("1", "no-such-class")).starts_with("HTTP/1.1 400 "));
+  EXPECT_TRUE(ask(job("1", "safe", 0)).starts_with("HTTP/1.1 400 "));
+  EXPECT_TRUE(ask("POST /api HTTP/1.1\r\nRequest-Class: safe\r\n\r\n").starts_with("HTTP/1.1 400 "));
+  for (const auto& [text, status] : std::initializer_list<std::pair<std::string, std::string>>{
+           {"nonsense\r\n\r\n", "400"},
+           {"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413"},
+           {"GET /" + std::string(20'000, 'x'), "431"}}) {
+    Peer peer = client();
+    peer.write(text);
+    const std::string answer = peer.read_message();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + status)) << answer;
+    EXPECT_TRUE(peer.sees_close());
+  }
+  EXPECT_FALSE(worker_.has_caller());
+}
+
+TEST_F(ServiceTest, AClientsNextRequestWaitsAndIsNotMixedWithTheOneThatIsOut) {
+  start();
+  Peer peer = client();
+  const std::string big(6000, 'b');
+  peer.write(job("1"));
+  Peer w = worker_.accept();
+  w.read_message();
+  peer.write_bytewise(job("2", "safe", 15'000, big).substr(0, 40));
+  w.write(taken() + chunk(done("1", "one")) + "0\r\n\r\n");
+  EXPECT_TRUE(peer.read_message().ends_with("one"));
+  peer.write(job("2", "safe", 15'000, big).substr(40));
+  const std::string second = w.read_message();
+  EXPECT_TRUE(second.ends_with("\r\n\r\n" + big));
+  w.write(taken() + chunk(done("2", "two")) + "0\r\n\r\n");
+  EXPECT_TRUE(peer.read_message().ends_with("two"));
+}
+
+TEST_F(ServiceTest, AClientThatLeavesTakesItsJobBack) {
+  start();
+  Peer peer = client();
+  peer.write(job("1"));
+  Peer w = worker_.accept();
+  w.read_message();
+  peer.close();
+  EXPECT_TRUE(w.sees_close());
+}
+
+TEST_F(ServiceTest, AJobThatNeverRanIsSentAgainAndOneThatMayHaveIsNot) {
+  config_.settings.may_copy = false;
+  start();
+  Peer peer = client();
+  peer.write(job("1", "unsafe"));
+  Peer w = worker_.accept();
+  w.read_message();
+  w.write(taken() + chunk(line("1", "returned")) + "0\r\n\r\n");
+  serve_one(w, "second");
+  EXPECT_TRUE(peer.read_message().ends_with("second"));
+  peer.write(job("2", "unsafe"));
+  w.read_message();
+  w.close();
+  EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 500 "));
+}
+
+TEST_F(ServiceTest, ARefusalSaysWhenToComeBack) {
+  config_.known.entries.clear();
+  start();
+  Peer peer = client();
+  peer.write(job("1", "safe", 60));
+  const std::string answer = peer.read_message();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("\r\nRetry-After: 1.250\r\n"), std::string::npos) << answer;
+}
+
+class TheEnd : public ServiceTest,
+               public ::testing::WithParamInterface<std::pair<const char*, const char*>> {};
+
+TEST_P(TheEnd, AnswersAJobThatIsStillOut) {
+  const auto& [of_class, status] = GetParam();
+  config_.network.longest_deadline = 400'000;  // the end's patience rests on it
+  start();
+  Peer peer = client();
+  peer.write(job("1", of_class));
+  Peer w = worker_.accept();
+  w.read_message();
+  end();
+  const std::string answer = peer.read_message();
+  EXPECT_TRUE(answer.starts_with(status)) << answer;
+  EXPECT_TRUE(peer.sees_close());
+  EXPECT_TRUE(w.sees_close());
+  await_end();
+}
+
+INSTANTIATE_TEST_SUITE_P(EachEffect, TheEnd,
+                         ::testing::Values(std::pair("safe", "HTTP/1.1 503 "),
+                                           std::pair("keyed", "HTTP/1.1 500 "),
+                                           std::pair("unsafe", "HTTP/1.1 500 ")));
+
+TEST_F(ServiceTest, IdleClientsAreClosedAtTheEndAndNewOnesStillServed) {
+  start();
+  Peer idle = client();
+  idle.write("GET /_health HTTP/1.1\r\n\r\n");
+  idle.read_message();
+  Peer busy = client();
+  busy.write(job("1"));
+  Peer w = worker_.accept();
+  w.read_message();
+  end();
+  EXPECT_TRUE(idle.sees_close());
+  Peer late = client();
+  ASSERT_TRUE(late.open());
+  w.write(taken() + chunk(done("1", "r")) + "0\r\n\r\n");
+  EXPECT_TRUE(busy.read_message().starts_with("HTTP/1.1 200 "));
+  late.write(job("2"));
+  serve_one(w, "new");
+  EXPECT_TRUE(late.read_message().ends_with("new"));
+  await_end();
+}
+
+TEST_F(ServiceTest, TheSameAddressIsBoundAgainAtOnce) {
+  start();
+  Peer peer = client();
+  peer.write("GET /_health HTTP/1.1\r\n\r\n");
+  peer.read_message();
+  stop();
+  config_.listen.port = port_;
+  start();
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(ServiceTest, AnAddressInUseIsSaid) {
+  Listener taken_port;
+  config_.listen.port = taken_port.port();
+  Service service(config_);
+  const std::string fault = service.open();
+  EXPECT_TRUE(fault.starts_with("127.0.0.1:" + std::to_string(taken_port.port()) + ": ")) << fault;
+}
+
+TEST_F(ServiceTest, AWatchGoesOnFromTheVersionThatIsHeld) {
+  config_.known.version = 41;
+  start();
+  Peer watch = discovery_.accept();
+  EXPECT_TRUE(
+      watch.read_until("\r\n\r\n").starts_with("GET /catalog/members?follow=1&since=41 HTTP/1.1\r\n"));
+  watch.write(taken() + chunk("{\"index\":43,\"snapshot\":false,\"endpoints\":[]}\n") + chunk("\n"));
+  watch.close();
+  Peer again = discovery_.accept();
+  EXPECT_NE(again.read_until("\r\n\r\n").find("since=43 "), std::string::npos);
+  again.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  Peer third = discovery_.accept();
+  EXPECT_NE(third.read_until("\r\n\r\n").find("since=43 "), std::string::npos);
+  third.write(taken() + chunk("no list\n"));
+  Peer fourth = discovery_.accept();
+  EXPECT_TRUE(fourth.open());
+}
+
+TEST_F(ServiceTest, AWatchThatFallsSilentIsTakenUpAnew) {
+  start();
+  Peer silent = discovery_.accept();
+  silent.read_until("\r\n\r\n");
+  silent.write(taken() + chunk("\n"));
+  Peer again = discovery_.accept();
+  EXPECT_TRUE(again.open());
+  EXPECT_TRUE(silent.sees_close());
+}
+
+TEST_F(ServiceTest, AnUnreadableEntryDoesNotEmptyTheList) {
+  start();
+  Peer watch = discovery_.accept();
+  watch.read_until("\r\n\r\n");
+  watch.write(taken() + chunk("{\"index\":43,\"snapshot\":true,\"endpoints\":[{\"name\":5}]}\n"));
+  watch.write("0\r\n\r\n");
+  EXPECT_TRUE(discovery_.accept().open());  // by then the line before was read
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(ServiceTest, AWorkerThatMovesIsFoundAtItsNewAddress) {
+  start();
+  Listener moved;
+  Peer watch = discovery_.accept();
+  watch.read_until("\r\n\r\n");
+  watch.write(taken() +
+              chunk("{\"index\":43,\"snapshot\":false,\"endpoints\":[{\"name\":\"w\",\"address\":\"" +
+                    moved.address() + "\",\"zone\":\"a\",\"status\":\"ready\"}]}\n") +
+              "0\r\n\r\n");
+  EXPECT_TRUE(discovery_.accept().open());
+  Peer peer = client();
+  peer.write(job("1"));
+  Peer w = moved.accept();
+  serve_one(w, "moved");
+  EXPECT_TRUE(peer.read_message().ends_with("moved"));
+  EXPECT_FALSE(worker_.has_caller());
+}
+
+TEST_F(ServiceTest, AtTheLimitOfDescriptorsAnIdleClientMakesRoom) {
+  config_.sockets = 32 + 8;  // shares: four clients, four workers
+  start();
+  std::vector<Peer> peers;
+  for (int i = 0; i < 4; ++i) {
+    peers.push_back(client());
+    peers.back().write("GET /_health HTTP/1.1\r\n\r\n");
+    peers.back().read_message();
+  }
+  Peer fifth = client();
+  fifth.write("GET /_health HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(fifth.read_message().starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(peers[0].sees_close());
+  peers[1].write("GET /_health HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(peers[1].read_message().starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(ServiceTest, RandomBytesFromClientsDoNoHarm) {
+  start();
+  std::uint64_t state = 20261201;
+  for (int i = 0; i < 200; ++i) {
+    std::string text = job(std::to_string(i), "safe", 50);
+    for (int n = 0; n < 3; ++n) {
+      state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+      text[(state >> 33) % text.size()] = static_cast<char>(state >> 56);
+    }
+    Peer peer = client();
+    peer.write(text.substr(0, (state >> 40) % (2 * text.size())));
+  }
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
+}  // namespace
+}  // namespace woadridge::net::test
