Debug log of each attempt; fleet-1's lost job runs on a worker that has just slowed

Checked: a trace of attempts (WOADRIDGE_LOG=debug): sent 0.1 ms after it came, started 0.6 ms later, then 16% a second until its 5 s were up: its worker had slowed two seconds before. Ruled out: a late send, a lost line (each progress note came on its second), the connection, CPU.

--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -12,6 +12,33 @@
 constexpr Micros kWatchAgain = 500'000;  // where the list is pushed: first wait after a failed watch ...
 constexpr int kDoublings = 4;            // ... doubling so often, with jitter
 
+const char* name_of(Result result) {  // for the log, in the protocol's words
+  switch (result) {
+    case Result::ok:
+      return "served";
+    case Result::error:
+      return "error";
+    case Result::full:
+      return "turned away";
+    case Result::timed_out:
+      return "timed out";
+    case Result::no_connection:
+      return "could not connect";
+    case Result::broken:
+      return "reset";
+    case Result::cancelled:
+      return "called off";
+    case Result::never_sent:
+      return "never sent";
+  }
+  return "unknown";
+}
+
+const char* name_of(Answer::Kind kind) {
+  if (kind == Answer::Kind::served) return "served";
+  return kind == Answer::Kind::refused ? "refused" : "failed";
+}
+
 }  // namespace
 
 Engine::Engine(Strand strand, const Config& config, int most_worker_connections)
@@ -80,6 +107,8 @@
   arrival.hint = job.hint;
   arrival.slots = job.slots;
   arrival.repeated = job.repeated;
+  spdlog::debug("job {} is {}: class {} hint {} us, {} ms left", id, job.request_id, job.class_name,
+                job.hint.value_or(0), job.time_left / 1000);
   give(std::move(arrival));
   return id;
 }
@@ -96,10 +125,12 @@
 }
 
 void Engine::job_started(AttemptKey key) {
+  spdlog::debug("job {} attempt {} started", key.id, key.number);
   give(Started{key.id, key.number});
 }
 
 void Engine::job_progress(AttemptKey key, double done) {
+  spdlog::debug("job {} attempt {} done to {}", key.id, key.number, done);
   give(Progress{key.id, key.number, done});
 }
 
@@ -122,6 +153,7 @@
   outcome.worker = tried.worker;
   outcome.result = result;
   outcome.finished = open.client == nullptr;
+  spdlog::debug("job {} attempt {} at {} ended: {}", key.id, key.number, tried.worker, name_of(result));
   give(std::move(outcome));
   forget_if_over(key.id);
 }
@@ -195,6 +227,7 @@
   const bool allowed = open.client != nullptr && left > 0 && key.number < config_.settings.max_attempts;
   if (!allowed) return end_attempt(key, Result::never_sent);
   ++counts_.attempts;
+  spdlog::debug("job {} attempt {} to {}", key.id, key.number, action.worker);
   const Micros timeout = action.timeout > 0 ? std::min(action.timeout, left) : left;
   set_due({now() + timeout, 0, true, 0, key});
   WorkerRequest request;
@@ -225,6 +258,7 @@
   if (answer.kind == Answer::Kind::served) ++counts_.served;
   else if (answer.kind == Answer::Kind::refused) ++counts_.refused;
   else ++counts_.failed;
+  spdlog::debug("job {} answered: {}", id, name_of(answer.kind));
   client->answered(std::move(answer));
   forget_if_over(id);
 }
