--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -76,19 +76,29 @@
   while (!events_.empty()) {
     const Event next = std::move(events_.front());
     events_.pop_front();
-    std::vector<Action> actions = std::exchange(actions_, {});
-    actions.clear();
-    dispatcher_.handle(now(), next, actions);
-    for (const auto& action : actions) std::visit([this](const auto& a) { carry_out(a); }, action);
-    actions_ = std::move(actions);
+    handle(next);
   }
   giving_ = false;
   arm();
 }
 
-bool Engine::knows_class(std::string_view name) const {
-  return std::any_of(config_.settings.classes.begin(), config_.settings.classes.end(),
-                     [name](const auto& c) { return c.name == name; });
+// An exception ends the one event: were it to pass, no event would ever be handed over again.
+void Engine::handle(const Event& event) {
+  std::vector<Action> actions = std::exchange(actions_, {});
+  actions.clear();
+  try {
+    dispatcher_.handle(now(), event, actions);
+    for (const auto& action : actions) std::visit([this](const auto& a) { carry_out(a); }, action);
+  } catch (const std::exception& fault) {
+    spdlog::error("an event was given up: {}", fault.what());
+  }
+  actions_ = std::move(actions);
+}
+
+const ClassSettings* Engine::class_named(std::string_view name) const {
+  const auto& all = config_.settings.classes;
+  const auto found = std::find_if(all.begin(), all.end(), [name](const auto& c) { return c.name == name; });
+  return found == all.end() ? nullptr : &*found;
 }
 
 RequestId Engine::take(const Job& job, std::shared_ptr<Client> client) {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -49,7 +49,7 @@
   void stop();        // closes everything
 
   bool holds_list() const { return !members_.empty(); }
-  bool knows_class(std::string_view name) const;
+  const ClassSettings* class_named(std::string_view name) const;  // null: unknown
   std::size_t unanswered() const { return unanswered_; }
   const Clock& clock() const { return clock_; }
 
@@ -83,6 +83,7 @@
 
   Micros now();
   void give(Event event);
+  void handle(const Event& event);
   void carry_out(const Send& action);
   void carry_out(const Refuse& action);
   void carry_out(const Fail& action);
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -70,7 +70,8 @@
   const auto timeout_ms = whole(message.header("Request-Timeout-Ms"));
   const auto hint = whole(message.header("Work-Hint"));
   if (job.request_id.empty() || !timeout_ms || *timeout_ms <= 0) return 400;
-  if (!engine.knows_class(job.class_name)) return 400;
+  const ClassSettings* of = engine.class_named(job.class_name);
+  if (of == nullptr || (of->effect == Effect::keyed && job.idempotency_key.empty())) return 400;
   // Its time counts from when the client sent it: some has passed.
   const Micros told = std::min(*timeout_ms, kLongestTimeoutMs) * 1000;
   job.time_left = std::max<Micros>(1000, told - on_the_way);
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -86,6 +86,7 @@
   end_ = {};
   sent_ = 0;
   status_seen_ = false;
+  answered_ = false;
   if (connected_) {
     end_.reached = Reached::connected;
     guarded([this] { write(); });
@@ -168,8 +169,13 @@
   if (reader_.state() == HttpReader::State::failed) return broke();
   if (reader_.state() == HttpReader::State::head || end_.reached < Reached::all_written) return;
   if (!status_seen_) digest_status();
-  if (!closed_ && end_.status == 200 && task_ == Task::job) digest_lines();
-  if (!closed_ && reader_.state() == HttpReader::State::complete) message_complete();
+  if (task_ == Task::job && !answered_) digest_lines();
+  if (closed_) return;
+  const bool complete = reader_.state() == HttpReader::State::complete;
+  if (task_ == Task::probe) answered_ = complete;
+  if (task_ == Task::job && complete && !answered_) return broke();  // its end came before its last line
+  if (task_ != Task::none && answered_) end_task(complete);
+  else if (complete) release();
 }
 
 void WorkerConnection::digest_status() {
@@ -177,11 +183,11 @@
   end_.status = reader_.status();
   end_.not_started = reader_.header("Not-Started") == "1";
   if (end_.status == 200) end_.reached = Reached::taken;
-  else if (task_ == Task::job) end_task();
+  else answered_ = true;
 }
 
 void WorkerConnection::digest_lines() {
-  while (!closed_ && task_ == Task::job) {
+  while (!closed_ && !answered_) {
     const auto body = reader_.body();
     const auto line_end = body.find('\n');
     if (line_end == std::string_view::npos) return;
@@ -225,27 +231,25 @@
   end_.reached = Reached::last_line;
   end_.last = last;
   end_.result = std::move(result);
-  end_task();
+  answered_ = true;
 }
 
-// The attempt's one end. The connection may be used again once its message is complete.
-void WorkerConnection::end_task() {
+// The one end of what it carries. The connection is free before that is told: the next job held for this
+// worker goes out at once, and would open a new connection beside one that is about to be idle.
+void WorkerConnection::end_task(bool message_complete) {
   const Task task = std::exchange(task_, Task::none);
-  if (task == Task::job) {
-    task_ = Task::none;
-    pool_.carrying_.erase(key_);
-    pool_.events_.attempt_ended(key_, std::move(end_));
-    end_.reached = Reached::last_line;
-  } else if (task == Task::probe) {
-    pool_.events_.probe_ended(worker_, pool_.clock_.now() - probe_sent_, end_.status == 200);
-  }
+  AttemptEnd end = std::exchange(end_, {});
+  end_.reached = Reached::last_line;
+  if (task == Task::job) pool_.carrying_.erase(key_);
+  const AttemptKey key = key_;
+  if (message_complete) release();
+  if (task == Task::job) pool_.events_.attempt_ended(key, std::move(end));
+  if (task == Task::probe)
+    pool_.events_.probe_ended(worker_, pool_.clock_.now() - probe_sent_, end.status == 200);
 }
 
-void WorkerConnection::message_complete() {
-  if (task_ == Task::job) return broke();  // its end came before its last line
-  if (task_ == Task::probe) end_task();
-  if (closed_) return;
-  if (!reader_.keep_alive() || !reader_.nothing_behind()) return broke();
+void WorkerConnection::release() {
+  if (!reader_.keep_alive() || !reader_.nothing_behind()) return abandon();
   reader_.next();
   fresh_ = false;
   pool_.idle(shared_from_this());
@@ -274,7 +278,7 @@
     }
     task_ = Task::job;
   }
-  end_task();
+  end_task(false);
 }
 
 void WorkerConnection::abandon() {
--- a/src/net/workers.h
+++ b/src/net/workers.h
@@ -87,9 +87,9 @@
   void digest_lines();
   bool digest_line(std::string_view line);
   void last_line(LastLine last, std::string result);
-  void message_complete();
+  void release();
   void broke();
-  void end_task();
+  void end_task(bool message_complete);
   template <typename Step>
   void guarded(Step step);
 
@@ -113,6 +113,7 @@
   bool closed_ = false;
   bool fresh_ = true;  // has carried nothing before
   bool status_seen_ = false;
+  bool answered_ = false;                                         // what it carries has its end
   std::list<std::shared_ptr<WorkerConnection>>::iterator place_;  // in the pool's book
 };
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -116,23 +116,30 @@
   }
 }
 
-TEST_F(ServiceTest, HealthNeedsAListAndAnEndTurnsIt) {
+TEST_F(ServiceTest, HealthTurnsAtTheEndAndWorkGoesOn) {
   start();
   EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+  Peer idle = client();
+  idle.write("GET /_health HTTP/1.1\r\n\r\n");
+  idle.read_message();
+  Peer half = client();
+  half.write("GET /_health HTTP/1.1\r\n");
   Peer peer = client();
   peer.write(job("1"));
   Peer w = worker_.accept();
   w.read_message();
   end();
-  std::string health;
-  do health = ask("GET /_health HTTP/1.1\r\n\r\n");
-  while (health.starts_with("HTTP/1.1 200 "));
+  EXPECT_TRUE(idle.sees_close());
+  half.write("\r\n");
+  const std::string health = half.read_message();
   EXPECT_TRUE(health.starts_with("HTTP/1.1 503 ")) << health;
   EXPECT_NE(health.find("Connection: close"), std::string::npos);
   w.write(taken() + chunk(done("1", "late")) + "0\r\n\r\n");
   const std::string answer = peer.read_message();
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
   EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+  half.close();
+  peer.close();
   await_end();
 }
 
@@ -160,6 +167,10 @@
   EXPECT_TRUE(ask(job("1", "no-such-class")).starts_with("HTTP/1.1 400 "));
   EXPECT_TRUE(ask(job("1", "safe", 0)).starts_with("HTTP/1.1 400 "));
   EXPECT_TRUE(ask("POST /api HTTP/1.1\r\nRequest-Class: safe\r\n\r\n").starts_with("HTTP/1.1 400 "));
+  const std::string keyed = job("1", "keyed");
+  const std::string without =
+      keyed.substr(0, keyed.find("Idempotency")) + keyed.substr(keyed.find("Work-Hint"));
+  EXPECT_TRUE(ask(without).starts_with("HTTP/1.1 400 "));
   for (const auto& [text, status] : std::initializer_list<std::pair<std::string, std::string>>{
            {"nonsense\r\n\r\n", "400"},
            {"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "413"},
@@ -250,24 +261,21 @@
                                            std::pair("keyed", "HTTP/1.1 500 "),
                                            std::pair("unsafe", "HTTP/1.1 500 ")));
 
-TEST_F(ServiceTest, IdleClientsAreClosedAtTheEndAndNewOnesStillServed) {
+TEST_F(ServiceTest, ANewClientIsStillServedWhileTheEndBegins) {
   start();
-  Peer idle = client();
-  idle.write("GET /_health HTTP/1.1\r\n\r\n");
-  idle.read_message();
   Peer busy = client();
   busy.write(job("1"));
   Peer w = worker_.accept();
   w.read_message();
   end();
-  EXPECT_TRUE(idle.sees_close());
   Peer late = client();
-  ASSERT_TRUE(late.open());
+  late.write(job("2"));
   w.write(taken() + chunk(done("1", "r")) + "0\r\n\r\n");
   EXPECT_TRUE(busy.read_message().starts_with("HTTP/1.1 200 "));
-  late.write(job("2"));
+  busy.close();
   serve_one(w, "new");
   EXPECT_TRUE(late.read_message().ends_with("new"));
+  late.close();
   await_end();
 }
 
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -24,7 +24,10 @@
 
   void job_started(AttemptKey key) override { started_.push_back(key); }
   void job_progress(AttemptKey, double done) override { progress_.push_back(done); }
-  void attempt_ended(AttemptKey key, AttemptEnd end) override { ended_.push_back({key, std::move(end)}); }
+  void attempt_ended(AttemptKey key, AttemptEnd end) override {
+    ended_.push_back({key, std::move(end)});
+    if (on_end_) on_end_();
+  }
   void probe_ended(const WorkerId&, Micros, bool ok) override { probed_.push_back(ok); }
 
   void run_until(const std::function<bool()>& done) {
@@ -70,6 +73,20 @@
     return against([&](Peer& peer) { peer.write(text); });
   }
 
+  void answer(Peer& peer, std::string_view result = "r") {
+    peer.read_message();
+    peer.write(taken() + chunk(done(id_, result)) + "0\r\n\r\n");
+  }
+
+  // A worker that answers one job, and stays until its connection is closed.
+  std::thread serving_one(Listener& worker) {
+    return std::thread([this, &worker] {
+      Peer peer = worker.accept();
+      answer(peer);
+      peer.sees_close();
+    });
+  }
+
   static Result result(const Ended& e) { return result_of(e.end); }
 
   boost::asio::io_context io_;
@@ -80,6 +97,7 @@
   std::vector<double> progress_;
   std::vector<Ended> ended_;
   std::vector<bool> probed_;
+  std::function<void()> on_end_;
 };
 
 std::string with_length(const std::string& status, const std::string& more = "") {
@@ -223,10 +241,7 @@
   pool_.locate("w", {"127.0.0.1", worker.port()});
   std::thread thread([&] {
     Peer peer = worker.accept();
-    for (int i = 0; i < 3; ++i) {
-      peer.read_message();
-      peer.write(taken() + chunk(done(id_, std::to_string(i))) + "0\r\n\r\n");
-    }
+    for (int i = 0; i < 3; ++i) answer(peer, std::to_string(i));
     peer.sees_close();
   });
   for (int i = 0; i < 3; ++i) {
@@ -238,6 +253,25 @@
   thread.join();
 }
 
+// What the module sends on an outcome finds the connection of that outcome free.
+TEST_F(Workers, AConnectionIsFreeOnceItsEndIsTold) {
+  Listener worker;
+  pool_.locate("w", {"127.0.0.1", worker.port()});
+  std::thread thread([&] {
+    Peer peer = worker.accept();
+    for (int i = 0; i < 2; ++i) answer(peer, std::to_string(i));
+    peer.sees_close();
+  });
+  on_end_ = [this] {
+    if (ended_.size() == 1) send({2, 0});
+  };
+  send({1, 0});
+  run_until([&] { return ended_.size() == 2; });
+  EXPECT_EQ(pool_.opened(), 1u);
+  pool_.close_all();
+  thread.join();
+}
+
 // The end of the message may come after the last line: until then the connection is not free.
 TEST_F(Workers, AConnectionIsFreeWhenItsMessageHasEnded) {
   Listener worker;
@@ -247,8 +281,7 @@
     first.read_message();
     first.write(taken() + chunk(done(id_, "1")));
     Peer second = worker.accept();
-    second.read_message();
-    second.write(taken() + chunk(done(id_, "2")) + "0\r\n\r\n");
+    answer(second, "2");
     second.sees_close();
   });
   EXPECT_EQ(send_to_end({1, 0}).end.result, "1");
@@ -261,16 +294,19 @@
 TEST_F(Workers, AStaleConnectionIsNotUsed) {
   Listener worker;
   pool_.locate("w", {"127.0.0.1", worker.port()});
+  std::atomic<int> closed{0};
   std::thread thread([&] {
-    for (int i = 0; i < 2; ++i) {
+    for (const char* result : {"0", "1"}) {
       Peer peer = worker.accept();
-      peer.read_message();
-      peer.write(taken() + chunk(done(id_, std::to_string(i))) + "0\r\n\r\n");
+      answer(peer, result);
+      peer.close();
+      ++closed;
     }
   });
   EXPECT_EQ(send_to_end({1, 0}).end.result, "0");
+  while (closed == 0) std::this_thread::yield();
   EXPECT_EQ(send_to_end({2, 0}).end.result,
-            "1");  // the loop may not have seen the close yet: it is asked for
+            "1");  // the loop may not have seen the close: the system is asked
   thread.join();
   EXPECT_EQ(pool_.opened(), 2u);
 }
@@ -280,8 +316,7 @@
   pool_.locate("w", {"127.0.0.1", worker.port()});
   std::thread thread([&] {
     Peer peer = worker.accept();
-    peer.read_message();
-    peer.write(taken() + chunk(done(id_, "1")) + "0\r\n\r\n");
+    answer(peer, "1");
     peer.write(taken() + chunk(done(id_, "2")) + "0\r\n\r\n");
     peer.sees_close();
   });
@@ -318,8 +353,7 @@
   std::thread thread([&] {
     for (int i = 0; i < 2; ++i) {
       Peer peer = worker.accept();
-      peer.read_message();
-      peer.write(taken() + chunk(done(id_, "r")) + "0\r\n\r\n");
+      answer(peer);
       peer.sees_close();
     }
   });
@@ -339,12 +373,7 @@
   pool_.configure(10'000'000, 1, 8);
   Listener worker;
   pool_.locate("w", {"127.0.0.1", worker.port()});
-  std::thread thread([&] {
-    Peer peer = worker.accept();
-    peer.read_message();
-    peer.write(taken() + chunk(done(id_, "r")) + "0\r\n\r\n");
-    peer.sees_close();
-  });
+  std::thread thread = serving_one(worker);
   send_to_end({1, 0});
   EXPECT_EQ(pool_.open_connections(), 1u);
   pool_.configure(10'000'000, 2, 8);
@@ -359,14 +388,8 @@
   pool_.locate("v", {"127.0.0.1", one.port()});
   pool_.locate("w", {"127.0.0.1", two.port()});
   std::vector<std::thread> threads;
-  for (Listener* listener : {&one, &two}) {
-    threads.emplace_back([this, listener] {
-      Peer peer = listener->accept();
-      peer.read_message();
-      peer.write(taken() + chunk(done(id_, "r")) + "0\r\n\r\n");
-      peer.sees_close();
-    });
-  }
+  threads.push_back(serving_one(one));
+  threads.push_back(serving_one(two));
   WorkerRequest request;
   request.method = "POST", request.target = "/api", request.request_id = id_;
   pool_.send({1, 0}, "v", request);
