--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -2,13 +2,17 @@
 
 #include <poll.h>
 #include <spdlog/details/null_mutex.h>
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <climits>
 #include <cstdlib>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace woadridge::net {
 namespace {
@@ -20,9 +24,11 @@
   void sink_it_(const spdlog::details::log_msg& message) override {
     spdlog::memory_buf_t line;
     formatter_->format(message, line);
-    if (line.size() > PIPE_BUF) line.resize(PIPE_BUF);  // a pipe that is ready takes so much without blocking
-    if (dropped_ > 0 && write(std::to_string(dropped_) + " lines of the log were dropped\n")) dropped_ = 0;
-    if (dropped_ > 0 || !write({line.data(), line.size()})) ++dropped_;
+    std::string text;
+    if (dropped_ > 0) text = fmt::format("{} lines of the log were dropped\n", dropped_);
+    text.append(line.data(), line.size());
+    text.resize(std::min<std::size_t>(text.size(), PIPE_BUF));  // a pipe that is ready takes so much at once
+    dropped_ = write(text) ? 0 : dropped_ + 1;
   }
   void flush_() override {}
 
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -80,6 +80,28 @@
   EXPECT_LE(rig.log.size(), before + 1);
 }
 
+TEST(NoRequestLost, AtTheEndAllThatIsOpenIsAnsweredOnceAndOnlyRefusedWhereThatIsHarmless) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  const auto safe = rig.ask("safe"), keyed = rig.ask("keyed-zone"), unsafe = rig.ask("unsafe");
+  std::vector<RequestId> held;
+  for (int i = 0; i < 9; ++i) held.push_back(rig.ask("unsafe"));
+  std::erase_if(held, [&](auto id) { return !rig.sends(id).empty(); });
+  ASSERT_FALSE(held.empty());
+  rig.give(Ending{});
+  rig.give(Ending{});
+  EXPECT_EQ(rig.count<Refuse>(safe), 1);
+  EXPECT_EQ(rig.count<Fail>(keyed), 1);
+  EXPECT_EQ(rig.count<Fail>(unsafe), 1);
+  for (const auto id : held) EXPECT_EQ(rig.count<Refuse>(id), 1);
+  const auto answers = rig.count<Refuse>() + rig.count<Fail>();
+  const auto sends = rig.count<Send>();
+  EXPECT_EQ(answers, 12);
+  rig.pass(20 * kSecond);
+  EXPECT_EQ(rig.count<Refuse>() + rig.count<Fail>(), answers);
+  EXPECT_EQ(rig.count<Send>(), sends);
+}
+
 TEST(NoRequestLost, AClientThatLeftIsOwedNothing) {
   Rig rig(plain_settings());
   const auto id = rig.ask();
