--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -387,6 +387,15 @@
   EXPECT_TRUE(peers[1].read_message().starts_with("HTTP/1.1 200 "));
 }
 
+TEST_F(ServiceTest, ARequestThatIsNeverFinishedIsDropped) {
+  start();
+  Peer head = client(), body = client();
+  head.write("POST /api HTTP/1.1\r\nRequest-Id: 1\r\n");
+  body.write("POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+  EXPECT_TRUE(head.sees_close());
+  EXPECT_TRUE(body.sees_close());
+}
+
 TEST_F(ServiceTest, RandomBytesFromClientsDoNoHarm) {
   start();
   std::uint64_t state = 20261201;
