SIGHUP reads the configuration again and moves the watch to the new discovery

Cause: nothing handled SIGHUP, whose default action ends the process (src/main.cpp, src/net/service.cpp); no other signal or fault was in the logs. Now the service reads the file again; the new discovery is asked at once for the whole list (since=0, as versions of two discoveries need not compare), the list and its drains stay until it answers, a fault in the file changes nothing, other fields wait for a start and are named in the log. A discovery that says nothing at all is given up after 2 s.

The four tests of Reload end the process or fail without the change (there is no handler and no reload()).

--- a/src/decide.h
+++ b/src/decide.h
@@ -35,12 +35,14 @@
   double worth = 1;
   std::string worker_kind;  // the only kind that can run it; empty: any
   bool streamed = false;
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
   std::string name;
   double share = 0;        // its part of the service
   double quota_per_s = 0;  // its requests per second over all dispatchers
+  bool operator==(const TenantSettings&) const = default;
 };
 
 struct Settings {
@@ -68,6 +70,7 @@
   Micros warm_after = 0;   // and is warm after this long
   double overload_factor = 0;
   Micros overload_span = 0;
+  bool operator==(const Settings&) const = default;
 };
 
 struct Report {  // a worker's word on its load: late and a little noisy
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,8 +9,10 @@
 #include "net/service.h"
 
 int main() {
-  std::signal(SIGPIPE,
-              SIG_IGN);  // a peer that is gone is an error code of the write, not the end of the process
+  // A peer that is gone is an error code of the write, and a new configuration is no reason to end: until the
+  // service has its own handler there is none to read again.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
   const char* path = std::getenv("EDGE_CONFIG");
   if (path == nullptr || *path == '\0') {
     std::cerr << "woadridge: EDGE_CONFIG does not name a configuration file\n";
@@ -22,7 +24,7 @@
     return 2;
   }
   woadridge::net::open_log();
-  woadridge::net::Service service(std::move(std::get<woadridge::net::Config>(config)));
+  woadridge::net::Service service(std::move(std::get<woadridge::net::Config>(config)), path);
   if (const std::string fault = service.open(); !fault.empty()) {
     std::cerr << "woadridge: cannot listen on " << fault << "\n";
     return 1;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -98,14 +98,13 @@
   return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, 1 << 20));
 }
 
-int read_sockets(const Json& tree) {
-  const int own = own_descriptor_limit();
+std::optional<std::int64_t> read_limit(const Json& tree, std::string_view name) {
   const Json* limits = tree.find("limits");
-  const Json* sockets = limits == nullptr ? nullptr : limits->find("sockets");
-  if (sockets == nullptr) return own;
-  const auto told = sockets->whole();
-  if (!told || *told <= 0) throw Malformed("limits.sockets is not a whole number above 0");
-  return static_cast<int>(std::min<std::int64_t>(*told, own));
+  const Json* limit = limits == nullptr ? nullptr : limits->find(name);
+  if (limit == nullptr) return std::nullopt;
+  const auto told = limit->whole();
+  if (!told || *told <= 0) throw Malformed("limits." + std::string(name) + " is not a whole number above 0");
+  return told;
 }
 
 Config config_from(const Json& tree) {
@@ -113,7 +112,9 @@
   config.name = required(tree, "name", Json::Kind::text).decoded();
   config.listen = required_address(tree, "listen");
   config.discovery = required_address(tree, "discovery");
-  config.sockets = read_sockets(tree);
+  const int own = own_descriptor_limit();
+  config.sockets = static_cast<int>(std::min<std::int64_t>(read_limit(tree, "sockets").value_or(own), own));
+  config.memory_mb = read_limit(tree, "memory_mb").value_or(0);
   const Flat flat(required(tree, "settings", Json::Kind::object));
   try {
     config.settings = read_settings(flat.values());
@@ -179,6 +180,10 @@
   return address;
 }
 
+std::string to_text(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
 std::optional<Members> read_members(const Json& list) {
   const Json* version = list.find("index");
   const Json* snapshot = list.find("snapshot");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -34,7 +34,8 @@
   std::string name;
   Address listen;
   Address discovery;
-  int sockets = 0;  // the most descriptors that the process may hold
+  int sockets = 0;             // the most descriptors that the process may hold
+  std::int64_t memory_mb = 0;  // 0: not told
   Settings settings;
   NetworkSettings network;
   Members known;
@@ -45,6 +46,7 @@
 };
 
 std::optional<Address> parse_address(std::string_view text);
+std::string to_text(const Address& address);
 std::optional<Members> read_members(const Json& list);
 std::variant<Config, ConfigFault> read_config(std::string_view text);
 std::variant<Config, ConfigFault> load_config(const std::string& path);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -17,6 +17,9 @@
 // Discovery sends an empty line every 2 s; two that are missed, and half a second for the way. A connection
 // to a machine that has vanished says nothing else.
 constexpr Micros kLongestSilence = 4'500'000;
+// For the connection and the answer's first byte: guards against an address where nobody is, which says
+// nothing at all. Discovery itself ends calls that waited a second.
+constexpr Micros kFirstAnswer = 2'000'000;
 constexpr std::size_t kLongestList = 4 << 20;  // bytes of one line: some ten thousand workers
 
 }  // namespace
@@ -67,6 +70,7 @@
       }
       if (fault) return fail("connection ended");
       heard_ = clock_.now();
+      answered_ = true;
       reader_.arrived(bytes);
       digest();
     }
@@ -113,7 +117,8 @@
 
 void Watch::check_silence() {
   guarded([this] {
-    if (clock_.now() - heard_ > kLongestSilence) fail("silent for too long");
+    const Micros longest = answered_ ? kLongestSilence : kFirstAnswer;
+    if (clock_.now() - heard_ > longest) fail("silent for too long");
   });
 }
 
@@ -126,6 +131,11 @@
   watch_->start();
 }
 
+void Discovery::move(Address address) {
+  stop();
+  address_ = std::move(address);
+}
+
 void Discovery::sweep() {
   if (const auto watch = watch_; watch != nullptr) watch->check_silence();
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -25,6 +25,7 @@
   void start();
   void stop();  // reports nothing more
   void check_silence();
+  bool ended() const { return ended_; }
 
  private:
   void run(Fault fault, std::size_t bytes);
@@ -42,6 +43,7 @@
   std::string head_;
   std::size_t sent_ = 0;
   Micros heard_ = 0;
+  bool answered_ = false;
   bool ended_ = false;
 };
 
@@ -49,7 +51,9 @@
  public:
   Discovery(Strand strand, const Clock& clock, Address address, DiscoveryEvents& events);
   void watch(std::int64_t since);  // in place of an earlier watch
-  void sweep();                    // now and then: a watch that misses its beats has failed
+  void move(Address address);      // ends the watch, reports nothing; the next one goes there
+  bool watching() const { return watch_ != nullptr && !watch_->ended(); }
+  void sweep();  // now and then: a watch that misses its beats has failed
   void stop();
 
  private:
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -212,7 +212,16 @@
 }
 
 void Engine::watch() {
-  discovery_.watch(version_);
+  if (!stopped_ && !discovery_.watching()) discovery_.watch(version_);
+}
+
+// Another discovery counts its versions in its own way: it is asked for the whole list.
+void Engine::move_discovery(const Address& address) {
+  if (stopped_) return;
+  discovery_.move(address);
+  version_ = 0;
+  failed_watches_ = 0;
+  watch();  // once, at once; if that fails the module says when to ask again, as ever
 }
 
 void Engine::watch_failed() {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -47,6 +47,8 @@
   void left(RequestId id);
   void answer_all();  // ends what is left: the process is about to be killed
   void stop();        // closes everything
+  // The list is had elsewhere from now on. What is known stays in force until the new address has answered.
+  void move_discovery(const Address& address);
 
   bool holds_list() const { return !members_.empty(); }
   const ClassSettings* class_named(std::string_view name) const;  // null: unknown
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -22,12 +22,14 @@
 
 }  // namespace
 
-Service::Service(Config config)
+Service::Service(Config config, std::string source)
     : config_(std::move(config)),
+      source_(std::move(source)),
       strand_(boost::asio::make_strand(io_)),
       engine_(strand_, config_, Budget(config_.sockets).most_workers()),
       intake_(strand_, engine_, Budget(config_.sockets).most_clients()),
       signals_(io_, SIGTERM, SIGINT),
+      reload_signal_(io_, SIGHUP),
       timer_(strand_) {}
 
 std::string Service::open() {
@@ -39,9 +41,47 @@
   signals_.async_wait([this](Fault cancelled, int) {
     if (!cancelled) end();
   });
+  await_reload();
   return {};
 }
 
+// ---- a new configuration ----
+
+void Service::await_reload() {
+  reload_signal_.async_wait([this](Fault cancelled, int) {
+    if (cancelled) return;
+    reload();
+    await_reload();
+  });
+}
+
+void Service::reload() {
+  boost::asio::post(strand_, [this] { read_again(); });
+}
+
+// A file that can't be used changes nothing: the configuration in force stays.
+void Service::read_again() {
+  const auto read = load_config(source_);
+  if (const auto* fault = std::get_if<ConfigFault>(&read))
+    return spdlog::error("new configuration not taken: {}", fault->message);
+  take_over(std::get<Config>(read));
+}
+
+void Service::take_over(const Config& fresh) {
+  if (fresh.discovery == config_.discovery) {
+    spdlog::info("configuration read again: discovery stays at {}", to_text(config_.discovery));
+  } else {
+    spdlog::info("configuration read again: discovery moves from {} to {}", to_text(config_.discovery),
+                 to_text(fresh.discovery));
+    config_.discovery = fresh.discovery;
+    engine_.move_discovery(fresh.discovery);
+  }
+  const bool rest_stays = fresh.listen == config_.listen && fresh.name == config_.name &&
+                          fresh.sockets == config_.sockets && fresh.memory_mb == config_.memory_mb &&
+                          fresh.settings == config_.settings && fresh.network == config_.network;
+  if (!rest_stays) spdlog::warn("name, listen, limits or settings differ: they are taken at the next start");
+}
+
 void Service::run() {
   io_.run();
 }
@@ -77,6 +117,7 @@
   spdlog::info("ended with {} requests not answered", engine_.unanswered());
   timer_.cancel();
   signals_.cancel();
+  reload_signal_.cancel();
   intake_.stop();
   engine_.stop();
 }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -10,23 +10,29 @@
 
 class Service {
  public:
-  explicit Service(Config config);
+  explicit Service(Config config, std::string source = {});  // the file that it was read from
   std::string open();  // begins to listen; an empty text, or why that is not possible
   void run();          // until it was told to end, and has
   void end();          // from any thread
+  void reload();       // reads the file again and takes what can change while it serves; from any thread
   std::uint16_t port() const { return intake_.port(); }
 
  private:
+  void await_reload();
+  void read_again();
+  void take_over(const Config& fresh);
   void begin_ending();
   void go_on_ending();
   void finish();
 
   Config config_;
+  std::string source_;
   boost::asio::io_context io_{1};
   Strand strand_;
   Engine engine_;
   Intake intake_;
   boost::asio::signal_set signals_;
+  boost::asio::signal_set reload_signal_;
   Timer timer_;
   Micros told_to_end_ = 0;
 };
--- a/src/settings.h
+++ b/src/settings.h
@@ -17,6 +17,7 @@
 struct NetworkSettings {
   Micros idle_limit = 0;        // workers close a connection that stood idle for so long; 0: never
   Micros longest_deadline = 0;  // of all classes
+  bool operator==(const NetworkSettings&) const = default;
 };
 
 Settings read_settings(const Fields& values);  // the seed stays 0: it comes beside the settings
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <optional>
 
 #include "net_rig.h"
@@ -55,7 +58,7 @@
   }
 
   void start() {
-    service_.emplace(config_);
+    service_.emplace(config_, source_);
     ASSERT_EQ(service_->open(), "");
     port_ = service_->port();
     thread_ = std::thread([this] { service_->run(); });
@@ -94,7 +97,17 @@
 
   Listener worker_;
   Listener discovery_;
+  // One job to the worker that listens there, served.
+  void serve_through(Listener& worker) {
+    Peer peer = client();
+    peer.write(job("77"));
+    Peer w = worker.accept();
+    serve_one(w);
+    EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 200 "));
+  }
+
   Config config_;
+  std::string source_;
   std::optional<Service> service_;
   std::thread thread_;
   std::uint16_t port_ = 0;
@@ -342,6 +355,121 @@
   EXPECT_TRUE(silent.sees_close());
 }
 
+// ---- a new configuration ----
+
+class Reload : public ServiceTest {
+ protected:
+  Reload() : path_(::testing::TempDir() + "woadridge-reload-" + std::to_string(::getpid()) + ".json") {
+    source_ = path_;
+  }
+  ~Reload() override {
+    stop();  // it may still be reading
+    std::remove(path_.c_str());
+  }
+
+  void write(const std::string& text) { std::ofstream(path_, std::ios::trunc) << text; }
+
+  void write_config(std::uint16_t discovery) {
+    write(R"({"name":"n0","listen":"127.0.0.1:9","seed":"7","discovery":"127.0.0.1:)" +
+          std::to_string(discovery) +
+          R"(","settings":{"tick":2000,"grades":[{"name":"safe","hard-limit":9000000}],)"
+          R"("limits":{"dial-timeout":250000}}})");
+  }
+
+  // The first that this dispatcher hears of any worker: one drains. Healthy tells that the line was read.
+  Peer told_to_drain() {
+    Peer watch = discovery_.accept();
+    watch.read_until("\r\n\r\n");
+    watch.write(taken() + chunk(list(41, "true", "draining")));
+    while (!ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 ")) {
+    }
+    return watch;
+  }
+
+  std::string list(int version, const std::string& whole, const std::string& status) const {
+    return "{\"index\":" + std::to_string(version) + ",\"snapshot\":" + whole +
+           ",\"endpoints\":[{\"name\":\"w\",\"address\":\"" + worker_.address() +
+           "\",\"zone\":\"a\",\"status\":\"" + status + "\"}]}\n";
+  }
+
+  std::string path_;
+};
+
+TEST_F(Reload, TheWatchMovesAndAsksTheNewDiscoveryForAll) {
+  Listener next;
+  config_.known.entries.clear();
+  start();
+  Peer watch = told_to_drain();
+  write_config(next.port());
+  service_->reload();
+  EXPECT_TRUE(watch.sees_close());
+  Peer fresh = next.accept();
+  EXPECT_NE(fresh.read_until("\r\n\r\n").find("since=0 "), std::string::npos);
+  // What was told stays in force until the new one has answered; its own count of versions does not matter.
+  EXPECT_TRUE(ask(job("2", "safe", 300)).starts_with("HTTP/1.1 503 "));
+  EXPECT_FALSE(worker_.has_caller());
+  fresh.write(taken() + chunk(list(7, "true", "ready")));
+  Peer peer = client();
+  peer.write(job("3"));
+  Peer w = worker_.accept();
+  serve_one(w);
+  EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 200 "));
+  EXPECT_FALSE(discovery_.has_caller());
+}
+
+TEST_F(Reload, AFileThatCannotBeUsedChangesNothing) {
+  start();
+  Peer watch = discovery_.accept();
+  watch.read_until("\r\n\r\n");
+  std::remove(path_.c_str());
+  service_->reload();
+  for (const char* text : {"", "{", "[]", "{\"discovery\":\"nonsense\"}"}) {
+    write(text);
+    service_->reload();
+    EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+  }
+  write_config(discovery_.port());  // the same address: the watch stays
+  service_->reload();
+  watch.write(taken() + chunk(list(2, "true", "ready")));
+  serve_through(worker_);
+  EXPECT_FALSE(discovery_.has_caller());
+}
+
+TEST_F(Reload, ManyInARowAndANewAddressWhereNobodyAnswers) {
+  Listener next;
+  std::uint16_t nobody = 0;
+  {
+    Listener gone;
+    nobody = gone.port();
+  }
+  start();
+  for (int i = 0; i < 5; ++i) {
+    write_config(nobody);
+    service_->reload();
+    EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+  }
+  write_config(next.port());
+  service_->reload();
+  service_->reload();
+  Peer fresh = next.accept();
+  EXPECT_TRUE(fresh.read_until("\r\n\r\n").starts_with("GET /catalog/members"));
+  fresh.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  Peer again = next.accept();
+  EXPECT_NE(again.read_until("\r\n\r\n").find("since=0 "), std::string::npos);
+  end();
+  service_->reload();
+  await_end();
+}
+
+TEST_F(Reload, HangUpIsASignalToReadAgainNotToEnd) {
+  Listener next;
+  start();
+  write_config(next.port());
+  ::kill(::getpid(), SIGHUP);
+  EXPECT_TRUE(next.accept().open());
+  EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
 TEST_F(ServiceTest, AnUnreadableEntryDoesNotEmptyTheList) {
   start();
   Peer watch = discovery_.accept();
