Errors told apart: a failing worker rests, a request that is at fault is not tried elsewhere

Now an error of a first attempt rests the worker as a broken connection does, and each answer takes back one judgement instead of all.

Now the id of an open request is answered 409, and 4xx of a worker (but 408, 429) ends the request at once and is not held against the worker.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -135,18 +135,17 @@
   }
 
   void on(const Started& e) {
-    auto [r, found] = attempt(e.id, e.attempt);
-    if (found == nullptr || found->seen_start) return;
-    Attempt& a = *found;
-    Worker& w = workers[a.worker];
-    a.start(now);
-    count_start(w, *r, a);
-    if (trial.id != r->id) see_wait(a);
-    see_delay(w.info.zone, now - a.sent);
+    auto [r, a] = attempt(e.id, e.attempt);
+    if (a == nullptr || a->seen_start) return;
+    Worker& w = workers[a->worker];
+    a->start(now);
+    count_start(w, *r, *a);
+    if (trial.id != r->id) see_wait(*a);
+    see_delay(w.info.zone, now - a->sent);
     w.of->slots = std::max(w.of->slots, w.running);
-    if (!a.late_start) see_start(w, false);
+    if (!a->late_start) see_start(w, false);
     const double rest = w.of->slots - w.running;
-    see_others(w, a.late_start ? rest : std::min(others(w), rest));
+    see_others(w, a->late_start ? rest : std::min(others(w), rest));
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
     if (w.unreachable) w.new_process(now);
     go_on_trial(*r, e.attempt, w);
@@ -455,8 +454,7 @@
 
   void learn_outcome(Worker& w, const Request& r, Attempt& a, Result result) {
     if (result == Result::ok) {
-      w.strikes = 0;
-      w.judged_until = 0;
+      w.strikes = std::max(0, w.strikes - 1);
       if (w.cap > 0) w.cap += 1;
       learn_pace(w, r, a, 1);
       if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
@@ -471,18 +469,19 @@
       w.unreachable = true;
       judge(w);
     }
+    // Guards against a worker that fails at once: always free, it draws every job. Repeats may be at fault.
+    if (result == Result::error && r.attempts.size() == 1) judge(w);
   }
 
   void on(const Outcome& o) {
-    auto [r, found] = attempt(o.id, o.attempt);
-    if (found == nullptr) return;
-    Attempt& a = *found;
-    Worker& w = workers[a.worker];
-    a.out = false;
-    a.never_ran =
+    auto [r, a] = attempt(o.id, o.attempt);
+    if (a == nullptr) return;
+    Worker& w = workers[a->worker];
+    a->out = false;
+    a->never_ran =
         o.result == Result::full || o.result == Result::no_connection || o.result == Result::never_sent;
-    count_end(w, *r, a);
-    learn_outcome(w, *r, a, o.result);
+    count_end(w, *r, *a);
+    learn_outcome(w, *r, *a, o.result);
     w.learn_report(o.report);
     if (o.finished && !r->answered) answered(*r);
     else if (r->answered) erase_ended(*r);
--- a/src/decide.h
+++ b/src/decide.h
@@ -21,7 +21,7 @@
 enum class ListMode { pushed, asked };                      // how the list of workers reaches it
 enum class Phase { serving, draining, gone };               // a worker's state in the list
 enum class ListKind { changes, full, remembered, failed };  // what a list event holds
-enum class Result { ok, error, full, timed_out, no_connection, broken, cancelled, never_sent };
+enum class Result { ok, error, rejected, full, timed_out, no_connection, broken, cancelled, never_sent };
 
 struct ClassSettings {
   std::string name;
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -18,6 +18,8 @@
       return "served";
     case Result::error:
       return "error";
+    case Result::rejected:
+      return "rejected";
     case Result::full:
       return "turned away";
     case Result::timed_out:
@@ -104,6 +106,8 @@
 RequestId Engine::take(const Job& job, std::shared_ptr<Client> client) {
   const RequestId id = ++last_id_;
   Open& open = requests_[id];
+  open.name = job.request_id;
+  names_.insert(open.name);
   open.client = std::move(client);
   open.job = job;
   open.deadline = now() + job.time_left;
@@ -147,6 +151,7 @@
 void Engine::attempt_ended(AttemptKey key, AttemptEnd end) {
   const Result result = result_of(end);
   if (result == Result::ok) final_answer(key.id, {Answer::Kind::served, std::move(end.result), 0});
+  if (result == Result::rejected) final_answer(key.id, {});  // no other worker can use that request either
   end_attempt(key, result);
 }
 
@@ -285,7 +290,9 @@
 void Engine::forget_if_over(RequestId id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
-  if (found->second.client == nullptr && found->second.out == 0) requests_.erase(found);
+  if (found->second.client != nullptr || found->second.out > 0) return;
+  names_.erase(found->second.name);
+  requests_.erase(found);
 }
 
 void Engine::carry_out(const Cancel& action) {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,7 @@
 
   bool holds_list() const { return !members_.empty(); }
   const ClassSettings* class_named(std::string_view name) const;  // null: unknown
+  bool has_open(std::string_view request_id) const { return names_.contains(request_id); }
   std::size_t unanswered() const { return unanswered_; }
   const Clock& clock() const { return clock_; }
 
@@ -61,6 +63,7 @@
     bool out = true;
   };
   struct Open {
+    std::string name;                // the client's own: outlives the message
     std::shared_ptr<Client> client;  // none once it has its answer or is gone
     Job job;                         // slices; not used after the answer
     Micros deadline = 0;
@@ -124,6 +127,7 @@
   bool stopped_ = false;
   Micros last_now_ = 0;
   std::map<RequestId, Open> requests_;
+  std::set<std::string, std::less<>> names_;  // of all these: one name, one request
   RequestId last_id_ = 0;
   std::size_t unanswered_ = 0;
   std::map<WorkerId, Micros> members_;  // with the time of their last start
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -58,6 +58,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 431:
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -70,6 +70,7 @@
   const auto timeout_ms = whole(message.header("Request-Timeout-Ms"));
   const auto hint = whole(message.header("Work-Hint"));
   if (job.request_id.empty() || !timeout_ms || *timeout_ms <= 0) return 400;
+  if (engine.has_open(job.request_id)) return 409;  // another client's: neither may get the other's answer
   const ClassSettings* of = engine.class_named(job.class_name);
   if (of == nullptr || (of->effect == Effect::keyed && job.idempotency_key.empty())) return 400;
   // Its time counts from when the client sent it: some has passed.
@@ -194,7 +195,7 @@
 
 void ClientConnection::answer(int status, std::string_view more, std::string_view body) {
   enter(Stage::writing);
-  if (intake_.ending_) close_after_ = true;
+  if (intake_.closing_) close_after_ = true;
   out_.clear();
   write_answer_head(out_, status, more, body.size(), !close_after_);
   out_.append(body);
@@ -343,11 +344,6 @@
   });
 }
 
-void Intake::begin_ending() {
-  ending_ = true;
-  close_idle(0);
-}
-
 void Intake::close_idle(Micros at_least) {
   const Micros latest = engine_.clock().now() - at_least;
   const std::list<std::shared_ptr<ClientConnection>> all = connections_;
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -67,7 +67,8 @@
   // An empty text, or why the address can't be listened on.
   std::string listen(const Address& address);
   std::uint16_t port() const;
-  void begin_ending();  // health turns 503, answers close their connections
+  void begin_ending() { ending_ = true; }      // health turns 503
+  void close_all_after() { closing_ = true; }  // answers close their connections
   void stop_listening();
   void close_idle(Micros at_least);  // those that have been idle for so long and have sent nothing
   bool idle() const { return connections_.empty(); }
@@ -92,6 +93,7 @@
   std::size_t most_;
   bool paused_ = false;
   bool ending_ = false;
+  bool closing_ = false;
   bool stopped_ = false;
   std::list<std::shared_ptr<ClientConnection>> connections_;
 };
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -16,6 +16,10 @@
 // is left is answered well before.
 constexpr Micros kLongestWait = 3'000'000;
 constexpr Micros kAfterDeadline = 300'000;
+// Before that end: connections close from then on, and what was taken until then has time to run. Until then
+// clients are served on the connections that they have: the dispatcher that they would turn to may be away
+// too.
+constexpr Micros kLastRuns = 1'300'000;
 constexpr Micros kLastAnswers = 200'000;   // for the clients to take them
 constexpr Micros kFirstRequest = 100'000;  // for a new connection to bring its request
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
@@ -101,9 +105,12 @@
 void Service::go_on_ending() {
   const Micros gone = engine_.clock().now() - told_to_end_;
   const Micros patience = std::min(config_.network.longest_deadline, kLongestWait) + kAfterDeadline;
+  if (gone >= std::max(kStillListening, patience - kLastRuns)) {
+    intake_.close_all_after();
+    intake_.close_idle(kFirstRequest);
+  }
   if (gone >= kStillListening) {
     intake_.stop_listening();
-    intake_.close_idle(kFirstRequest);
     if (intake_.idle() || gone >= patience + kLastAnswers) return finish();
     if (gone >= patience) engine_.answer_all();
   }
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -30,6 +30,8 @@
   if (end.last == LastLine::lost) return Result::broken;
   if (end.reached < Reached::all_written) return Result::no_connection;
   if ((end.status == 503 || end.status == 504) && end.not_started) return Result::full;
+  if (end.status >= 400 && end.status < 500 && end.status != 408 && end.status != 429)
+    return Result::rejected;
   if (end.status != 0 && end.status != 200) return Result::error;
   return Result::broken;
 }
--- a/src/records.h
+++ b/src/records.h
@@ -85,7 +85,7 @@
   std::optional<double> reported;  // free slots by the last report, less own sends since
   Pace pace;                       // of own finished jobs, for its speed
   Micros judged_until = 0;         // no work before
-  int strikes = 0;                 // judgements since its last good answer
+  int strikes = 0;                 // judgements not yet made good by an answer
   bool unreachable = false;        // refused a connection or broke one since its last sign of life
   Micros drawn_span = -1;          // the span, counted from its start, for which a grant was drawn
   bool granted = false;            // while it is cold
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -455,6 +455,44 @@
   }
 }
 
+// A worker that fails jobs at once is always free, and drew every job and its repeats.
+TEST(Health, AWorkerThatFailsAtOnceRests) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  for (int i = 0; i < 2; ++i) {  // the second while the first rests
+    const auto id = rig.ask();
+    const auto failing = rig.sent_to(id).at(0);
+    rig.give(Started{id, 0});
+    rig.end(id, Result::error);
+    EXPECT_NE(rig.sent_to(id).at(1), failing);
+    rig.end(id, Result::ok, 1);
+    for (int n = 0; n < 2; ++n) {
+      const auto next = rig.ask();
+      EXPECT_NE(rig.sent_to(next).at(0), failing);
+      rig.serve(next);
+    }
+    rig.pass(10 * kSecond);
+  }
+}
+
+TEST(Health, ARequestThatFailsEverywhereRestsOneWorkerAtMost) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  const auto bad = rig.ask();
+  for (int i = 0; i < 5; ++i) rig.end(bad, Result::error, i);
+  std::set<WorkerId> in_use;
+  for (int i = 0; i < 2; ++i) in_use.insert(rig.sent_to(rig.ask()).at(0));
+  EXPECT_EQ(in_use.size(), 2u);
+}
+
+TEST(Health, ARejectedRequestIsNotHeldAgainstTheWorker) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(1));
+  rig.end(rig.ask(), Result::rejected, 0, true);
+  EXPECT_EQ(rig.sends(1).size(), 1u);
+  EXPECT_EQ(rig.sends(rig.ask()).size(), 1u);
+}
+
 TEST(Split, ALoneWorkerTakesBigJobsThoughNotIdle) {
   Rig rig(plain_settings());
   rig.workers(boxes(1));
