--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -66,11 +66,7 @@
   void on(const WorkerList& news) {
     if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
-    if (news.kind != ListKind::changes)  // whoever is absent is gone
-      for (auto& [id, w] : workers) w.info.phase = Phase::gone;
-    for (const auto& info : news.workers) remember(info);
-    std::erase_if(workers, [](auto& e) { return e.second.info.phase == Phase::gone && !e.second.attempts; });
-    sort_order();
+    remember(news);
     set_lanes();
   }
 
@@ -244,6 +240,7 @@
   void hold(Request& r) {
     const Attempt* first = tie_to_group(r);
     const bool is_late = now + run_time(r) > r.due;
+    if (ends > 0 && now + run_time(r) > ends && may_refuse(r)) return give_up(r);
     // Too late for its full worth while others wait: refused at once, so that the client knows.
     if (is_late && may_refuse(r) && others_wait(r)) return give_up(r);
     r.place = {is_late ? 2 : r.over_share ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
@@ -312,6 +309,7 @@
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
     const auto end = now + static_cast<Micros>(r.work / speed(w) + usual_wait());
     if (std::get<0>(r.place) < 2 && w.of->pace.time > 0 && end > r.due) return false;
+    if (ends > 0 && end > ends) return false;
     return within_cold_budget(w, r.work);
   }
 
@@ -424,7 +422,7 @@
   }
 
   void give_up(Request& r) {
-    if (may_refuse(r)) out->push_back(Refuse{r.id, set.may_hold_off ? set.max_hold_off : 0});
+    if (may_refuse(r)) out->push_back(Refuse{r.id, set.may_hold_off && ends == 0 ? set.max_hold_off : 0});
     else out->push_back(Fail{r.id});
     answered(r);
   }
@@ -489,8 +487,10 @@
     if (auto* r = find(e.id); r != nullptr && !r->answered) answered(*r);
   }
 
-  // Guards against jobs lost with the process: refused where that is harmless, else failed.
-  void on(const Ending&) {
+  // Guards against jobs lost with the process: what can't end by then isn't begun, the rest answered then.
+  void on(const Ending& e) {
+    ends = e.at;
+    if (now < ends) return;
     for (auto at = requests.begin(); at != requests.end();)
       if (Request& r = (at++)->second; !r.answered) give_up(r);
   }
--- a/src/decide.h
+++ b/src/decide.h
@@ -92,8 +92,10 @@
 struct Start {
   Settings settings;
 };
-struct Stop {};    // killed: everything is forgotten
-struct Ending {};  // about to be killed: what is open must be answered now
+struct Stop {};  // killed: everything is forgotten
+struct Ending {  // to be killed: what is open then must be answered at that time
+  Micros at = 0;
+};
 struct WorkerList {
   ListKind kind = ListKind::full;
   std::vector<WorkerInfo> workers;
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -396,8 +396,12 @@
 
 // ---- the end ----
 
+void Engine::end_at(Micros at) {
+  give(Ending{at});
+}
+
 void Engine::answer_all() {
-  if (unanswered_ > 0) give(Ending{});
+  if (unanswered_ > 0) give(Ending{now()});
 }
 
 void Engine::stop() {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -46,8 +46,9 @@
   void start();
   RequestId take(const Job& job, std::shared_ptr<Client> client);
   void left(RequestId id);
-  void answer_all();  // ends what is left: the process is about to be killed
-  void stop();        // closes everything
+  void end_at(Micros at);  // what is left then must be answered: the process is about to be killed
+  void answer_all();       // it is that time
+  void stop();             // closes everything
   // The list is had elsewhere from now on. What is known stays in force until the new address has answered.
   void move_discovery(const Address& address);
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -100,20 +100,24 @@
   told_to_end_ = engine_.clock().now();
   spdlog::info("told to end: {} requests to be answered", engine_.unanswered());
   intake_.begin_ending();
+  engine_.end_at(told_to_end_ + patience());
   go_on_ending();
 }
 
+Micros Service::patience() const {
+  return std::min(config_.network.longest_deadline, kLongestWait) + kAfterDeadline;
+}
+
 void Service::go_on_ending() {
   const Micros gone = engine_.clock().now() - told_to_end_;
-  const Micros patience = std::min(config_.network.longest_deadline, kLongestWait) + kAfterDeadline;
-  if (gone >= std::max(kStillListening, patience - kLastRuns)) {
+  if (gone >= std::max(kStillListening, patience() - kLastRuns)) {
     intake_.close_all_after();
     intake_.close_idle(kFirstRequest);
   }
   if (gone >= kStillListening) {
     intake_.stop_listening();
-    if (intake_.idle() || gone >= patience + kLastAnswers) return finish();
-    if (gone >= patience) engine_.answer_all();
+    if (intake_.idle() || gone >= patience() + kLastAnswers) return finish();
+    if (gone >= patience()) engine_.answer_all();
   }
   timer_.expires_after(kLookAgain);
   timer_.async_wait([this](Fault fault) {
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -23,6 +23,7 @@
   void take_over(const Config& fresh);
   void begin_ending();
   void go_on_ending();
+  Micros patience() const;  // from the signal to the last answers
   void finish();
 
   Config config_;
--- a/src/records.h
+++ b/src/records.h
@@ -233,6 +233,7 @@
   Random random;
   Micros now = 0;
   Micros born = 0;
+  Micros ends = 0;  // when it will be killed; 0: not told to end
   std::vector<Action>* out = nullptr;
   std::map<WorkerId, Worker> workers;
   std::vector<Worker*> order;  // this dispatcher's own, by its seed
@@ -333,6 +334,13 @@
       if (i != kept && r.attempts[static_cast<std::size_t>(i)].out) out->push_back(Cancel{r.id, i});
   }
 
+  void remember(const WorkerList& news) {
+    if (news.kind != ListKind::changes)  // whoever is absent is gone
+      for (auto& [id, w] : workers) w.info.phase = Phase::gone;
+    for (const auto& info : news.workers) remember(info);
+    std::erase_if(workers, [](auto& e) { return e.second.info.phase == Phase::gone && !e.second.attempts; });
+    sort_order();
+  }
   void sort_order() {
     order.clear();
     for (auto& [id, w] : workers) order.push_back(&w);
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -455,6 +455,23 @@
   }
 }
 
+// Long jobs taken in the last seconds before a restart were lost with the process.
+TEST(NoRequestLost, WhatCannotEndBeforeTheProcessDoesIsLeftToOthers) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(4));
+  warm_up(rig);
+  const Micros at = rig.now + 2 * kSecond;
+  rig.give(Ending{at});
+  const auto brief = rig.ask("keyed-group", 100 * kMs), lengthy = rig.ask("keyed-group", 3 * kSecond);
+  EXPECT_EQ(rig.sends(brief).size(), 1u);
+  EXPECT_EQ(rig.count<Refuse>(brief), 0);
+  EXPECT_EQ(rig.sends(lengthy).size(), 0u);
+  EXPECT_EQ(rig.count<Refuse>(lengthy), 1);
+  rig.pass(2 * kSecond);
+  rig.give(Ending{at});
+  EXPECT_EQ(rig.count<Fail>(brief), 1);
+}
+
 // On a day of flaky connections each break rested a healthy worker, until hardly any was left.
 TEST(Health, ABrokenConnectionIsNoBrokenWorker) {
   Rig rig(plain_settings());
