--- a/lab/clients.h
+++ b/lab/clients.h
@@ -37,11 +37,11 @@
 
   Micros next() const;
   void advance(Micros now);
-  void taken(RequestId request);        // the dispatcher accepted its last byte
+  void taken(RequestId request);                    // the dispatcher accepted its last byte
   void unreachable(Micros now, RequestId request);  // nobody took it
   void answered(Micros now, RequestId request, char kind, Micros hold_off, bool genuine);
   void broken(Micros now, RequestId request, bool killed);  // the connection ended with no whole answer
-  bool idle() const;  // nothing more will come by itself
+  bool idle() const;                                        // nothing more will come by itself
 
   static RequestId request_id(DispatcherId dispatcher, std::size_t index) {
     return (static_cast<RequestId>(dispatcher) + 1) << 40 | index;
@@ -63,9 +63,11 @@
   struct Timer {
     Micros at = 0;
     std::uint64_t order = 0;
-    RequestId ends = 0;    // a deadline, or
+    RequestId ends = 0;     // a deadline, or
     std::size_t again = 0;  // a retry of this ask, one more
-    bool operator>(const Timer& other) const { return std::pair(at, order) > std::pair(other.at, other.order); }
+    bool operator>(const Timer& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
   };
 
   double factor_at(Micros now) const;
@@ -97,7 +99,7 @@
   std::vector<bool> open_;
   std::vector<Micros> first_asked_;  // of the chain, by ask
   std::size_t open_count_ = 0;
-  std::deque<std::pair<Ask, Wish>> waiting_;  // for a connection
+  std::deque<std::pair<Ask, Wish>> waiting_;      // for a connection
   std::vector<double> class_ends_, tenant_ends_;  // cumulative shares
 };
 
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -14,7 +14,7 @@
 
 struct ProcessSample {  // of a real dispatcher, on sockets
   std::string name;
-  Micros at = 0;  // of the run
+  Micros at = 0;   // of the run
   double cpu = 0;  // of a core, since the sample before
   double memory_mb = 0;
   int descriptors = 0;
@@ -29,8 +29,8 @@
 
 Rules rules_for(const Scenario& scenario, Micros slack);
 
-// The report of one scenario; the first run is the one that counts, the others are set beside it. Holds neither
-// times of the lab itself nor names of files: the same runs give the same bytes.
+// The report of one scenario; the first run is the one that counts, the others are set beside it. Holds
+// neither times of the lab itself nor names of files: the same runs give the same bytes.
 Json report_of(const Scenario& scenario, const std::string& mode, const std::vector<Played>& runs);
 
 std::string digest_of(const Records& records);  // 128 bit of xxhash over all records, in hexadecimal
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -1,6 +1,6 @@
 // The model of what a dispatcher serves: workers, the keys that they remember, the list of workers, and their
-// troubles. No sockets and no clock: the caller hands over what comes in with its time, asks next() when something
-// is due, and gets what goes out through FleetOut. Both runs, virtual and on sockets, use this one.
+// troubles. No sockets and no clock: the caller hands over what comes in with its time, asks next() when
+// something is due, and gets what goes out through FleetOut. Both runs, virtual and on sockets, use this one.
 #pragma once
 
 #include <cstdint>
@@ -33,27 +33,35 @@
 };
 
 enum class Said {  // what a worker's side of an attempt says
-  connected,  // the connection is up, though nobody answers
-  taken, started, progress,
-  done, failed, returned, lost,  // the last word, the connection stays usable
-  refused,                       // the connection was refused: never ran
-  broken                         // it broke
+  connected,       // the connection is up, though nobody answers
+  taken,
+  started,
+  progress,
+  done,
+  failed,
+  returned,
+  lost,     // the last word, the connection stays usable
+  refused,  // the connection was refused: never ran
+  broken    // it broke
 };
-inline bool is_last(Said said) { return said >= Said::done; }
+inline bool is_last(Said said) {
+  return said >= Said::done;
+}
 
 struct Note {
   AttemptRef ref;
   WorkerIndex worker = 0;
   Said said = Said::taken;
-  double share = 0;      // progress
-  int free_slots = -1;   // -1: no report
+  double share = 0;       // progress
+  int free_slots = -1;    // -1: no report
   bool trickled = false;  // the answer comes byte by byte
 };
 
 struct ListNews {
   std::int64_t version = 0;
   ListKind kind = ListKind::full;
-  std::shared_ptr<const std::vector<WorkerIndex>> workers;  // whose entries it holds, as they are at that time
+  std::shared_ptr<const std::vector<WorkerIndex>>
+      workers;  // whose entries it holds, as they are at that time
   std::shared_ptr<const std::vector<WorkerInfo>> entries;
 };
 
@@ -67,7 +75,14 @@
 
 // What a worker is doing, for the plots and for the baseline that sees all.
 enum class Doing : char {
-  serving = '.', cold = 'c', draining = 'd', slow = 's', hung = 'h', odd = 'o', fallen = 'f', down = 'x'
+  serving = '.',
+  cold = 'c',
+  draining = 'd',
+  slow = 's',
+  hung = 'h',
+  odd = 'o',
+  fallen = 'f',
+  down = 'x'
 };
 
 // The zone of a dispatcher: they are dealt out in turn.
@@ -81,8 +96,8 @@
   Micros next() const { return due_.empty() ? INT64_MAX : due_.top().at; }
   void advance(Micros now);  // carries out what is due up to now
 
-  // From the dispatchers. An offer is answered through FleetOut by at least one note, at once or later, unless
-  // the worker is out of reach or silent.
+  // From the dispatchers. An offer is answered through FleetOut by at least one note, at once or later,
+  // unless the worker is out of reach or silent.
   void offer(Micros now, WorkerIndex worker, const Offer& offer);
   void close(Micros now, WorkerIndex worker, const AttemptRef& ref);  // the dispatcher's end of it is shut
   void ask_list(Micros now, DispatcherId who);                        // one whole list, then its changes
@@ -105,8 +120,18 @@
   Records& records() { return records_; }
 
  private:
-  enum class What { job_ends, progress, warm_step, trouble_begins, trouble_ends, restart, listed_gone, publish, poll,
-                    release_step };
+  enum class What {
+    job_ends,
+    progress,
+    warm_step,
+    trouble_begins,
+    trouble_ends,
+    restart,
+    listed_gone,
+    publish,
+    poll,
+    release_step
+  };
   struct Due {
     Micros at = 0;
     std::uint64_t order = 0;  // of two at the same instant the first set comes first
@@ -120,11 +145,11 @@
     std::size_t run = 0;  // its record, once begun
     std::size_t sent = 0;
     bool running = false;
-    bool follows = false;     // its key runs elsewhere: it waits for that answer
+    bool follows = false;  // its key runs elsewhere: it waits for that answer
     bool said_taken = false;
-    bool orphan = false;  // its connection is gone: nobody hears of it
-    double left = 0;      // work
-    Micros settled = 0;   // time up to which `left` counts
+    bool orphan = false;     // its connection is gone: nobody hears of it
+    double left = 0;         // work
+    Micros settled = 0;      // time up to which `left` counts
     std::uint64_t plan = 0;  // of its end; an older one is void
   };
   struct Worker {
@@ -146,7 +171,7 @@
     std::deque<std::pair<Micros, double>> recent;  // work received while cold
     double recent_work = 0;
   };
-  struct Memory {  // of one key in one scope
+  struct Memory {      // of one key in one scope
     Micros first = 0;  // when it began
     bool ended = false;
     std::pair<WorkerIndex, std::uint64_t> holder;  // the job that runs
--- a/lab/histogram.h
+++ b/lab/histogram.h
@@ -1,5 +1,5 @@
-// A log-linear histogram: exact counts in buckets whose width is at most 1/128 of their lower bound, so that a
-// quantile is off by at most 1/256 (0.4%) of its value. Two merge exactly: counts are added.
+// A log-linear histogram: exact counts in buckets whose width is at most 1/128 of their lower bound, so that
+// a quantile is off by at most 1/256 (0.4%) of its value. Two merge exactly: counts are added.
 #pragma once
 
 #include <bit>
--- a/lab/random.h
+++ b/lab/random.h
@@ -1,5 +1,5 @@
-// Streams of random numbers that are the same on every machine (Boost.Random), one for each use: what one part
-// of a run draws never shifts what another one gets.
+// Streams of random numbers that are the same on every machine (Boost.Random), one for each use: what one
+// part of a run draws never shifts what another one gets.
 #pragma once
 
 #include <boost/random/exponential_distribution.hpp>
--- a/lab/records.h
+++ b/lab/records.h
@@ -1,5 +1,5 @@
-// What the workers, the list and the clients wrote down themselves. The judge and the reports read nothing else:
-// no word of a dispatcher is taken for it.
+// What the workers, the list and the clients wrote down themselves. The judge and the reports read nothing
+// else: no word of a dispatcher is taken for it.
 #pragma once
 
 #include <cstdint>
@@ -25,13 +25,13 @@
   Micros due = 0;    // when the chain's first try was to be sent
   Micros asked = 0;  // when this one was
   Micros deadline = 0;
-  bool taken = false;       // a running dispatcher accepted it
-  bool killed = false;      // and was killed before it answered
-  bool left = false;        // the client left before its deadline
-  int answers = 0;          // final answers that came, also after it had left
+  bool taken = false;        // a running dispatcher accepted it
+  bool killed = false;       // and was killed before it answered
+  bool left = false;         // the client left before its deadline
+  int answers = 0;           // final answers that came, also after it had left
   Micros answered = kNever;  // the first one
-  char kind = 0;            // of the first: 's'erved, 'r'efused, 'f'ailed
-  bool genuine = true;      // what was served is what a worker made of this request
+  char kind = 0;             // of the first: 's'erved, 'r'efused, 'f'ailed
+  bool genuine = true;       // what was served is what a worker made of this request
   Micros hold_off = 0;
   bool last = true;  // no retry follows
 };
@@ -43,7 +43,7 @@
   WorkerIndex worker = 0;
   int class_index = 0;
   Micros first_byte = 0;
-  Micros received = kNever;   // its last byte
+  Micros received = kNever;    // its last byte
   Micros given_back = kNever;  // the proof that it never ran was on its way
   double work = 0;
 };
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -1,5 +1,6 @@
 // What an experiment plays: the fleet, the list, the traffic, the troubles, as read from a TOML scenario.
-// docs/operations/lab.md describes every key. Spans are microseconds; points in time count from the run's start.
+// docs/operations/lab.md describes every key. Spans are microseconds; points in time count from the run's
+// start.
 #pragma once
 
 #include <string>
@@ -90,18 +91,18 @@
   Micros daily_period = 0;
   double daily_depth = 0;
   std::vector<TraceRow> trace;
-  double hint_sigma = 0.3;    // of the logarithm of hint over work; 0: exact
-  double hint_missing = 0;    // share of requests without one
-  double hint_useless = 0;    // share whose hint is that of another request
+  double hint_sigma = 0.3;  // of the logarithm of hint over work; 0: exact
+  double hint_missing = 0;  // share of requests without one
+  double hint_useless = 0;  // share whose hint is that of another request
 };
 
 struct ClientSpec {
   int retries = 3;
   Micros retry_wait = 0;  // before the first retry; `backoff` times as long before each further one
   double backoff = 1;
-  double jitter = 0;  // each wait up to so much longer, as a share
-  bool heeds = false;  // Retry-After
-  bool marks = false;  // Client-Retry
+  double jitter = 0;    // each wait up to so much longer, as a share
+  bool heeds = false;   // Retry-After
+  bool marks = false;   // Client-Retry
   int connections = 0;  // at a time, for each dispatcher; 0: as many as needed
 };
 
@@ -115,20 +116,34 @@
 };
 
 enum class TroubleKind {
-  die, hang, slow, reset, trickle, refuse, silent, fail, drain, partition, list_outage, release, flood, burst,
-  kill_dispatcher, restart_dispatcher
+  die,
+  hang,
+  slow,
+  reset,
+  trickle,
+  refuse,
+  silent,
+  fail,
+  drain,
+  partition,
+  list_outage,
+  release,
+  flood,
+  burst,
+  kill_dispatcher,
+  restart_dispatcher
 };
 
 struct Trouble {
   TroubleKind kind = TroubleKind::die;
   Micros at = 0;
-  Micros span = 0;    // how long it lasts, or a dead process stays away
-  double share = 0;   // of the fleet (or of the dispatchers), picked by the seed ...
-  std::string worker;  // ... or one by name ...
-  std::string zone;    // ... or a zone's ...
-  int group = -1;      // ... or a group's
-  double factor = 3;   // slow: times slower; flood, burst: times the usual
-  std::string tenant;  // flood
+  Micros span = 0;               // how long it lasts, or a dead process stays away
+  double share = 0;              // of the fleet (or of the dispatchers), picked by the seed ...
+  std::string worker;            // ... or one by name ...
+  std::string zone;              // ... or a zone's ...
+  int group = -1;                // ... or a group's
+  double factor = 3;             // slow: times slower; flood, burst: times the usual
+  std::string tenant;            // flood
   Micros drain_for = 3'000'000;  // release: from the drain to the end of the old process
   double batch = 0.2;            // release: share of the fleet at a time
 };
@@ -161,8 +176,8 @@
 
 using Setting = std::pair<std::string, std::string>;  // dotted key and its value in TOML
 
-// Reads a scenario; `settings` replace or add keys (a.b.0.c counts through arrays). All faults are told, in the
-// order of the file. Files that the scenario names are looked up beside it.
+// Reads a scenario; `settings` replace or add keys (a.b.0.c counts through arrays). All faults are told, in
+// the order of the file. Files that the scenario names are looked up beside it.
 std::variant<Scenario, std::vector<Fault>> read_scenario(const std::string& text, const std::string& file,
                                                          const std::vector<Setting>& settings = {});
 std::variant<Scenario, std::vector<Fault>> load_scenario(const std::string& file,
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -84,7 +84,7 @@
   // Its time counts from when the client sent it: some has passed.
   Micros told = std::min(*timeout_ms, kLongestTimeoutMs) * 1000;
   if (of->deadline > 0) told = std::min(told, of->deadline);
-  job.time_left = std::max<Micros>(1000, told - on_the_way);
+  job.time_left = time_to_answer(told, on_the_way);
   if (const auto text = message.header("Work-Hint"); !text.empty()) {
     const auto hint = positive(text);
     if (!hint) return 400;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -5,6 +5,10 @@
 namespace woadridge {
 namespace {
 
+constexpr Micros kAnswerAhead = 5'000;  // way back to the client, and a busy core's delay of the timer ...
+constexpr Micros kAheadPart = 10;       // ... but no more than a tenth of a short patience
+constexpr Micros kLeastTime = 1'000;
+
 // The part of a list setting that belongs to item i; empty when the list is shorter.
 std::string_view item(const std::vector<std::string_view>& list, std::size_t i) {
   return i < list.size() ? list[i] : std::string_view();
@@ -65,6 +69,10 @@
 
 }  // namespace
 
+Micros time_to_answer(Micros told, Micros on_the_way) {
+  return std::max(kLeastTime, told - on_the_way - std::min(kAnswerAhead, told / kAheadPart));
+}
+
 // The report value with the given meaning: "x0" or "x1" by what the settings say of them.
 ReportFields read_report_fields(const Fields& values) {
   ReportFields fields;
--- a/src/settings.h
+++ b/src/settings.h
@@ -20,6 +20,10 @@
   bool operator==(const NetworkSettings&) const = default;
 };
 
+// What is left to a dispatcher of the time that a client told it to wait: the answer must be with the client
+// before it gives up, not on its way. `told` counts from when the client sent the request.
+Micros time_to_answer(Micros told, Micros on_the_way);
+
 Settings read_settings(const Fields& values);  // the seed stays 0: it comes beside the settings
 ReportFields read_report_fields(const Fields& values);
 NetworkSettings read_network_settings(const Fields& values);
