--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -141,6 +141,7 @@
         Ask ask = asks_[timer.again - 1];
         Wish wish = wishes_[timer.again - 1];
         ++ask.number;
+        --retries_due_;
         send(at, ask, wish);
       }
       continue;
@@ -288,6 +289,7 @@
     if (c.heeds && ask.hold_off > 0) wait = static_cast<double>(ask.hold_off);
     wait *= 1 + c.jitter * retry_random_.uniform();
     ask.last = false;
+    ++retries_due_;
     timers_.push({now + static_cast<Micros>(wait), ++orders_, 0, index + 1});
   }
   next_waiting(now);
--- a/lab/clients.h
+++ b/lab/clients.h
@@ -99,6 +99,7 @@
   std::vector<bool> open_;
   std::vector<Micros> first_asked_;  // of the chain, by ask
   std::size_t open_count_ = 0;
+  std::size_t retries_due_ = 0;
   std::deque<std::pair<Ask, Wish>> waiting_;      // for a connection
   std::vector<double> class_ends_, tenant_ends_;  // cumulative shares
 };
--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -304,6 +304,12 @@
   return rules;
 }
 
+Played play_virtual(const Scenario& scenario, Policy policy, const RunOptions& options) {
+  Played played{name_of(policy), run_virtual(scenario, policy, options), {}, {}};
+  played.verdict = judge(rules_for(scenario, 0), played.result.records);
+  return played;
+}
+
 Json report_of(const Scenario& scenario, const std::string& mode, const std::vector<Played>& runs) {
   Json report{{"woadridge_lab", 1},
               {"scenario", scenario.name},
@@ -321,7 +327,7 @@
   report["runs"] = Json::array();
   for (const Played& run : runs) {
     const Summary summary(scenario, run);
-    Json r{{"policy", name_of(run.policy)}, {"digest", digest_of(run.result.records)}};
+    Json r{{"policy", run.label}, {"digest", digest_of(run.result.records)}};
     r["figures"] = summary.figures();
     r["classes"] = summary.classes();
     r["tenants"] = summary.tenants();
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -20,14 +20,15 @@
   int descriptors = 0;
 };
 
-struct Played {  // one policy's run of a scenario
-  Policy policy = Policy::module;
+struct Played {       // one policy's run of a scenario
+  std::string label;  // who decided
   RunResult result;
   Verdict verdict;
   std::vector<ProcessSample> processes;
 };
 
 Rules rules_for(const Scenario& scenario, Micros slack);
+Played play_virtual(const Scenario& scenario, Policy policy, const RunOptions& options);  // and judged
 
 // The report of one scenario; the first run is the one that counts, the others are set beside it. Holds
 // neither times of the lab itself nor names of files: the same runs give the same bytes.
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -23,6 +23,23 @@
   return scenario.fleet.zones[dispatcher % scenario.fleet.zones.size()];
 }
 
+void ToldBook::learn(DispatcherId dispatcher, const ListNews& news, Micros now, std::vector<Told>& into) {
+  if (news.kind == ListKind::failed) return;
+  if (news.kind == ListKind::full) {  // whoever is absent is gone
+    std::vector<bool> listed(phases_.size(), false);
+    for (const WorkerIndex w : *news.workers) listed[w] = true;
+    for (WorkerIndex w = 0; w < phases_.size(); ++w)
+      if (!listed[w]) learn(dispatcher, w, Phase::gone, now, into);
+  }
+  for (std::size_t i = 0; i < news.workers->size(); ++i)
+    learn(dispatcher, (*news.workers)[i], (*news.entries)[i].phase, now, into);
+}
+
+void ToldBook::learn(DispatcherId dispatcher, WorkerIndex worker, Phase phase, Micros now,
+                     std::vector<Told>& into) {
+  if (std::exchange(phases_[worker], phase) != phase) into.push_back({dispatcher, worker, phase, now});
+}
+
 Fleet::Fleet(const Scenario& scenario, Micros begin, FleetOut& out)
     : scenario_(scenario),
       out_(out),
@@ -415,6 +432,7 @@
     if (job.running) release_key(now, index, job, number, false);
   }
   w.queue.clear();
+  out_.door(index, false, true);
   set(now + scenario_.list.notice, What::listed_gone, index, w.generation);
 }
 
@@ -428,6 +446,7 @@
   w.recent_work = 0;
   w.rate = speed_now(now, index);
   records_.starts.push_back({index, now});
+  if (w.refusing == 0) out_.door(index, true, false);
   for (int i = 1; i <= kWarmSteps; ++i)
     set(now + scenario_.fleet.warm_after * i / kWarmSteps, What::warm_step, index, w.generation);
   list_changed(now, index, Phase::serving);
@@ -508,7 +527,7 @@
       return;
     case TroubleKind::refuse:
       w.refusing += step;
-      return;
+      return out_.door(index, accepts(index), false);
     case TroubleKind::silent:
       w.silent += step;
       return;
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -3,6 +3,7 @@
 // something is due, and gets what goes out through FleetOut. Both runs, virtual and on sockets, use this one.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -71,6 +72,9 @@
   virtual void note(const Note& note) = 0;
   // The list's word to one dispatcher. `after`: how much later than now it is to be written.
   virtual void news(DispatcherId to, const ListNews& news, Micros after) = 0;
+  // A worker's machine accepts new connections from now on, or refuses them. `died`: those that were open are
+  // gone.
+  virtual void door(WorkerIndex worker, bool open, bool died) { (void)worker, (void)open, (void)died; }
 };
 
 // What a worker is doing, for the plots and for the baseline that sees all.
@@ -85,6 +89,18 @@
   down = 'x'
 };
 
+// What one dispatcher was told of each worker: only changes are written down, as the judge wants them.
+class ToldBook {
+ public:
+  explicit ToldBook(std::size_t workers = 0) : phases_(workers, Phase::serving) {}
+  void forget() { std::fill(phases_.begin(), phases_.end(), Phase::serving); }  // a new process knows nothing
+  void learn(DispatcherId dispatcher, const ListNews& news, Micros now, std::vector<Told>& into);
+
+ private:
+  void learn(DispatcherId dispatcher, WorkerIndex worker, Phase phase, Micros now, std::vector<Told>& into);
+  std::vector<Phase> phases_;
+};
+
 // The zone of a dispatcher: they are dealt out in turn.
 const std::string& zone_of(const Scenario& scenario, DispatcherId dispatcher);
 
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "lab/page.h"
+#include "lab/sockets.h"
 #include "lab/sweep.h"
 
 using namespace woadridge::lab;
@@ -125,16 +126,35 @@
   bool baselines = true;
 };
 
+Played play_sockets(const RunCall& call, const Scenario& scenario, std::string& no_verdict) {
+  if (scenario.policy != Policy::module)
+    throw std::runtime_error("on sockets only the dispatcher itself is played");
+  if (::access(call.dispatcher.c_str(), X_OK) != 0)
+    throw std::runtime_error(call.dispatcher + ": no dispatcher there (--dispatcher names it)");
+  const bool kept = !call.out.empty();
+  const fs::path folder =
+      kept ? fs::path(call.out) : fs::temp_directory_path() / ("woadridge-lab-" + std::to_string(::getpid()));
+  fs::create_directories(folder);
+  ProgressLine line(scenario.name + ", on sockets");
+  SocketsOptions options{call.dispatcher, folder.string(), [&line](double part) { line(part); }, &stop_asked};
+  SocketsResult result = run_sockets(scenario, options);
+  no_verdict = result.no_verdict;
+  if (!kept) fs::remove_all(folder);
+  return std::move(result.played);
+}
+
 int run(const RunCall& call) {
   auto settings = settings_from(call.sets, "--set");
   if (call.seed) settings.emplace_back("seed", std::to_string(*call.seed));
   auto read = load_scenario(call.file, settings);
   if (auto* faults = std::get_if<std::vector<Fault>>(&read)) return tell(*faults);
   const Scenario scenario = std::get<Scenario>(std::move(read));
-  std::vector<Policy> policies{scenario.policy};
-  if (call.baselines) policies.insert(policies.end(), scenario.baselines.begin(), scenario.baselines.end());
   std::vector<Played> runs;
+  std::string no_verdict;
   const auto began = std::chrono::steady_clock::now();
+  if (call.mode == "sockets") runs.push_back(play_sockets(call, scenario, no_verdict));
+  std::vector<Policy> policies{scenario.policy};
+  if (call.baselines) policies.insert(policies.end(), scenario.baselines.begin(), scenario.baselines.end());
   for (const Policy policy : policies) {
     if (stop_asked) break;
     ProgressLine line(scenario.name + ", " + name_of(policy));
@@ -142,11 +162,11 @@
     options.jobs = call.jobs;
     options.stop = &stop_asked;
     options.progress = [&line](double part) { line(part); };
-    Played played{policy, run_virtual(scenario, policy, options), {}, {}};
-    played.verdict = judge(rules_for(scenario, 0), played.result.records);
-    runs.push_back(std::move(played));
+    runs.push_back(play_virtual(scenario, policy, options));
+    if (call.mode == "sockets") runs.back().label += " (virtual)";
   }
-  const Json report = report_of(scenario, call.mode, runs);
+  Json report = report_of(scenario, call.mode, runs);
+  if (!no_verdict.empty()) report["no_verdict"] = no_verdict;
   print_summary(report);
   std::fprintf(stderr, "played in %.1f s with %d jobs, %.0f MiB at most\n",
                std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count(), call.jobs,
@@ -157,7 +177,8 @@
     write(fs::path(call.out) / "report.html", report_page(report));
     if (call.events) write(fs::path(call.out) / "events.csv", events_csv(runs.front().result.records));
   }
-  if (report["partial"]) return kNoVerdict;
+  if (!no_verdict.empty()) std::fprintf(stderr, "no verdict: %s\n", no_verdict.c_str());
+  if (report["partial"] || !no_verdict.empty()) return kNoVerdict;
   return report["rules_kept"].get<bool>() ? 0 : kRuleBroken;
 }
 
@@ -239,7 +260,8 @@
   run_cmd->add_option("--mode", call.mode)
       ->check(CLI::IsMember({"virtual", "sockets"}))
       ->capture_default_str();
-  run_cmd->add_option("--out", call.out, "folder for report.json and report.html");
+  run_cmd->add_option("--dispatcher", call.dispatcher, "the program, on sockets")->capture_default_str();
+  run_cmd->add_option("--out", call.out, "folder for report.json and report.html; on sockets also logs");
   run_cmd->add_option("--jobs", call.jobs, "threads; the result is the same")
       ->check(CLI::Range(1, 256))
       ->capture_default_str();
@@ -258,6 +280,23 @@
   compare_cmd->add_option("A", file)->required();
   compare_cmd->add_option("B", other)->required();
 
+  FleetCall fleet;
+  double work_ms = 100;
+  auto* fleet_cmd =
+      app.add_subcommand("fleet", "keep a list and workers running on loopback, to try a dispatcher with");
+  fleet_cmd->add_option("--workers", fleet.workers)->check(CLI::Range(1, 10000))->capture_default_str();
+  fleet_cmd->add_option("--slots", fleet.slots, "jobs that a worker runs at a time")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  fleet_cmd->add_option("--work-ms", work_ms, "how long a job runs")
+      ->check(CLI::Range(0.001, 3.6e6))
+      ->capture_default_str();
+  fleet_cmd->add_option("--list", fleet.list_port, "port of the list")->capture_default_str();
+  fleet_cmd->add_option("--first-worker", fleet.first_worker_port, "port of the first worker")
+      ->capture_default_str();
+  fleet_cmd->add_flag("--small-writes", fleet.small_writes,
+                      "workers write each piece alone and wait for acknowledgements");
+
   auto* list_cmd = app.add_subcommand("list", "the scenarios that come with it");
   list_cmd->add_option("--scenarios", folder)->capture_default_str();
 
@@ -271,6 +310,10 @@
     }
     if (*run_cmd) return run(call);
     if (*sweep_cmd) return run_sweep(file, varied, sets, seeds, jobs, out);
+    if (*fleet_cmd) {
+      fleet.work = static_cast<woadridge::Micros>(work_ms * 1000);
+      return keep_fleet(fleet, stop_asked);
+    }
     if (*compare_cmd) return compare_files(file, other);
     return list(folder);
   } catch (const CLI::ParseError& fault) {
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -38,7 +38,8 @@
                                    {"flood", TroubleKind::flood},
                                    {"burst", TroubleKind::burst},
                                    {"kill-dispatcher", TroubleKind::kill_dispatcher},
-                                   {"restart-dispatcher", TroubleKind::restart_dispatcher}};
+                                   {"restart-dispatcher", TroubleKind::restart_dispatcher},
+                                   {"reload-dispatcher", TroubleKind::reload_dispatcher}};
 const Words<Effect> kEffects{{"safe", Effect::safe}, {"keyed", Effect::keyed}, {"unsafe", Effect::unsafe}};
 const Words<Scope> kScopes{{"all", Scope::all}, {"zone", Scope::zone}, {"group", Scope::group}};
 const Words<Sizes::Kind> kSizes{{"fixed", Sizes::Kind::fixed},
@@ -322,6 +323,7 @@
   f.progress_every = r.span("progress_every", 1'000'000);
   f.reports = r.flag("reports", false);
   f.connection_work = r.span("connection_work", 0);
+  f.small_writes = r.flag("small_writes", false);
   r.tables("kinds", [&](Reader& in) {
     KindSpec k;
     k.name = in.text("name", "box");
@@ -458,7 +460,8 @@
   if (t.kind == TroubleKind::flood &&
       std::none_of(s.tenants.begin(), s.tenants.end(), [&](auto& x) { return x.name == t.tenant; }))
     r.wrong_at("tenant", "expected one of the scenario's tenants");
-  if (t.span <= 0 && t.kind != TroubleKind::die && t.kind != TroubleKind::drain)
+  if (t.span <= 0 && t.kind != TroubleKind::die && t.kind != TroubleKind::drain &&
+      t.kind != TroubleKind::reload_dispatcher)
     r.wrong_at("for", "expected how long it lasts");
   s.troubles.push_back(std::move(t));
 }
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -51,6 +51,7 @@
   Micros progress_every = 1'000'000;
   bool reports = false;        // free slots come with each answer
   Micros connection_work = 0;  // what a new connection costs the worker
+  bool small_writes = false;   // on sockets: each piece is written alone and waits for acknowledgements
 };
 
 struct ListSpec {
@@ -131,7 +132,8 @@
   flood,
   burst,
   kill_dispatcher,
-  restart_dispatcher
+  restart_dispatcher,
+  reload_dispatcher  // SIGHUP, with the list at another address; on sockets only
 };
 
 struct Trouble {
--- a/lab/sweep.cpp
+++ b/lab/sweep.cpp
@@ -51,9 +51,7 @@
 Json figures_of(const Scenario& scenario, const std::atomic<bool>* stop) {
   RunOptions options;
   options.stop = stop;
-  std::vector<Played> runs;
-  runs.push_back({scenario.policy, run_virtual(scenario, scenario.policy, options), {}, {}});
-  runs.back().verdict = judge(rules_for(scenario, 0), runs.back().result.records);
+  const std::vector<Played> runs{play_virtual(scenario, scenario.policy, options)};
   return report_of(scenario, "virtual", runs)["runs"][0]["figures"];
 }
 
--- a/lab/virtual.cpp
+++ b/lab/virtual.cpp
@@ -75,7 +75,7 @@
     for (DispatcherId d = from; d < to; ++d)
       clients_.push_back(std::make_unique<Clients>(world.scenario, d, kBegin, *this));
     first_client_ = from;
-    phases_.resize(world.workers->size(), Phase::serving);
+    book_ = ToldBook(world.workers->size());
     idle_.resize(world.workers->size(), 0);
     set(kBegin, What::start);
     plan_troubles();
@@ -258,7 +258,7 @@
     std::fill(idle_.begin(), idle_.end(), 0);
     give(Start{settings_for(world_.scenario, zone_of(world_.scenario, id_),
                             hash_of("dispatcher", world_.scenario.seed + id_ * 7919 + life_))});
-    std::fill(phases_.begin(), phases_.end(), Phase::serving);
+    book_.forget();
     give(WorkerList{ListKind::remembered, known_.empty() ? *world_.first_list.entries : known_list()});
   }
 
@@ -422,14 +422,8 @@
   void on(const ListNews& news) {
     if (!alive_) return;
     if (news.kind == ListKind::failed) return give(WorkerList{ListKind::failed, {}});
-    if (news.kind == ListKind::full) {
-      std::vector<bool> listed(phases_.size(), false);
-      for (const WorkerIndex w : *news.workers) listed[w] = true;
-      for (WorkerIndex w = 0; w < phases_.size(); ++w)
-        if (!listed[w]) tell(w, Phase::gone);
-      known_.clear();
-    }
-    for (std::size_t i = 0; i < news.workers->size(); ++i) tell((*news.workers)[i], (*news.entries)[i].phase);
+    book_.learn(id_, news, now_, told_);
+    if (news.kind == ListKind::full) known_.clear();
     for (const auto& info : *news.entries) {
       if (info.phase == Phase::gone) known_.erase(info.id);
       else known_[info.id] = info;
@@ -437,10 +431,6 @@
     give(WorkerList{news.kind, *news.entries});
   }
 
-  void tell(WorkerIndex w, Phase phase) {
-    if (std::exchange(phases_[w], phase) != phase) told_.push_back({id_, w, phase, now_});
-  }
-
   // ---- attempts ----
   void connect_out(RequestId id, int attempt) {
     const auto found = requests_.find(id);
@@ -505,8 +495,8 @@
   std::map<RequestId, Open> requests_;
   std::deque<Event> given_;
   bool giving_ = false;
-  std::vector<int> idle_;      // kept connections, by worker
-  std::vector<Phase> phases_;  // as last told
+  std::vector<int> idle_;  // kept connections, by worker
+  ToldBook book_;
   std::map<WorkerId, WorkerInfo> known_;
   std::vector<Told> told_;
   std::uint64_t events_ = 0;
--- a/tests/lab/virtual_test.cpp
+++ b/tests/lab/virtual_test.cpp
@@ -12,9 +12,7 @@
 std::string bytes(const Scenario& s, int jobs) {
   RunOptions options;
   options.jobs = jobs;
-  std::vector<Played> runs;
-  runs.push_back({s.policy, run_virtual(s, s.policy, options), {}, {}});
-  runs[0].verdict = judge(rules_for(s, 0), runs[0].result.records);
+  const std::vector<Played> runs{play_virtual(s, s.policy, options)};
   return report_of(s, "virtual", runs).dump(1) + events_csv(runs[0].result.records);
 }
 
@@ -169,9 +167,7 @@
 
 TEST(ReportPage, DrawsARunAndSaysWhatWasBroken) {
   const Scenario s = shipped("mass-death", {{"length", "20s"}});
-  std::vector<Played> runs;
-  runs.push_back({s.policy, run_virtual(s, s.policy, {}), {}, {}});
-  runs[0].verdict = judge(rules_for(s, 0), runs[0].result.records);
+  std::vector<Played> runs{play_virtual(s, s.policy, {})};
   EXPECT_NE(report_page(report_of(s, "virtual", runs)).find("all four rules kept"), std::string::npos);
   runs[0].verdict.counts[2] = 1;
   runs[0].verdict.breaches.push_back({2, "request <1>"});
