--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -85,9 +85,23 @@
     for (int rule = 1; rule <= 4; ++rule)
       f["rule" + std::to_string(rule) + "_breaches"] = run_.verdict.counts[rule];
     f["keys_run_twice"] = run_.verdict.keys_run_twice;
+    if (!run_.processes.empty()) add_processes(f);
     return f;
   }
 
+  void add_processes(Json& f) const {
+    double cpu = 0, memory = 0;
+    int descriptors = 0;
+    for (const auto& p : run_.processes) {
+      cpu += p.cpu;  // a sample a second
+      memory = std::max(memory, p.memory_mb);
+      descriptors = std::max(descriptors, p.descriptors);
+    }
+    f["dispatcher_cpu_us_per_request"] = rounded(1e6 * part(cpu, run_.result.records.asks.size()));
+    f["dispatcher_memory_mb"] = rounded(memory);
+    f["dispatcher_descriptors"] = descriptors;
+  }
+
   Json classes() const {
     Json list = Json::array();
     for (std::size_t i = 0; i < by_class_.size(); ++i) {
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -113,6 +113,11 @@
                 v("refused_share"), v("failed_share"), v("p50_ms"), v("p99_ms"), v("attempts_per_request"),
                 broken);
   }
+  const auto& own = report["runs"][0]["figures"];
+  if (own.contains("dispatcher_cpu_us_per_request"))
+    std::printf("a dispatcher: %.0f us of CPU a request, %.1f MiB and %d descriptors at most\n",
+                own["dispatcher_cpu_us_per_request"].get<double>(), own["dispatcher_memory_mb"].get<double>(),
+                own["dispatcher_descriptors"].get<int>());
   for (const auto& b : report["runs"][0]["breaches"])
     std::printf("rule %d broken: %s\n", b["rule"].get<int>(), b["what"].get<std::string>().c_str());
 }
