--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -41,6 +41,8 @@
 constexpr int kRunsOn = -1;              // ... and a queue of others hides it often
 constexpr int kBelieved = 6;             // evidence at which it is believed
 constexpr int kGivenUp = -3;             // and at which no more trials are made
+constexpr double kTrialsFree = 20;       // copies for such trials, and beyond them ...
+constexpr double kTrialsPart = 0.02;  // ... this part of what is sent: where no job ever waits none concludes
 constexpr Micros kAskAgain = 400'000;  // first wait after a failed list call, doubling as often, with jitter
 
 }  // namespace
@@ -383,6 +385,7 @@
 
   void send(Request& r, Worker& w) {
     dequeue(r);
+    ++sends;
     if (set.tells_start && w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
     const auto number = static_cast<int>(r.attempts.size());
     Attempt& a = r.attempts.emplace_back(Attempt{w.info.id, w.info.zone, w.info.group, now});
@@ -574,6 +577,7 @@
   bool fit_for_trial(const Request& r, const Worker& w) {
     if (!set.may_copy || !set.may_cancel || evidence >= kBelieved || evidence <= kGivenUp) return false;
     if (r.of->effect != Effect::safe || r.attempts.size() != 1 || cold(w)) return false;
+    if (trial_copies > kTrialsFree + kTrialsPart * sends) return false;
     return r.work <= mean_run && r.work > 4 * static_cast<double>(start_limit(w));
   }
 
@@ -581,7 +585,10 @@
     if (trial.id == 0 && fit_for_trial(r, w)) trial.id = r.id;
     if (trial.id != r.id) return call_off_all_but(r, started);
     if (started == trial.waiting) return end_trial(r, kStops);
-    if (trial.waiting < 0 && may_resend(r) && may_take(w, r)) return send(r, w);
+    if (trial.waiting < 0 && may_resend(r) && may_take(w, r)) {
+      ++trial_copies;
+      return send(r, w);
+    }
     end_trial(r, 0);
   }
 
--- a/src/records.h
+++ b/src/records.h
@@ -259,6 +259,8 @@
   Fading wait;  // from a send to its start
   Trial trial;
   int evidence = 0;  // that a cancel stops work
+  double sends = 0;
+  double trial_copies = 0;
   int failed_asks = 0;
   Micros big_full_at = 0;
   bool asking = false;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -1362,6 +1362,28 @@
   EXPECT_EQ(rig.count<Fail>(id) + rig.count<Refuse>(id), 0);
 }
 
+// Guards against trials that never conclude: at workers with room to spare no copy ever waits, and each small
+// job went out five times for as long as the dispatcher ran.
+TEST(TrialOfACancel, WhereNoCopyEverWaitsTrialsStayAFewInAHundred) {
+  Settings s = plain_settings();
+  s.may_cancel = s.may_copy = true;
+  Rig rig(s);
+  rig.workers({worker("w")});
+  for (int i = 0; i < 500; ++i) {
+    const RequestId id = rig.ask("safe", 100 * kMs);
+    for (std::size_t n = 0; n < rig.sends(id).size(); ++n) {
+      rig.now += kMs;
+      rig.give(Started{id, static_cast<int>(n)});
+    }
+    rig.now += 100 * kMs;
+    rig.end(id, Result::ok);
+    for (std::size_t n = 1; n < rig.sends(id).size(); ++n)
+      rig.end(id, Result::cancelled, static_cast<int>(n), true);
+  }
+  EXPECT_GT(rig.count<Send>(), 500);
+  EXPECT_LE(rig.count<Send>(), 500 + 20 + 15 + 5);
+}
+
 // Guards against jobs without a hint that make workers look slow: taken for average ones, a long one passed
 // for a worker at a hundredth of its speed, until nothing was sent anywhere.
 TEST(Unhinted, ALongJobDoesNotMakeItsWorkerLookSlow) {
