The lab read again: one read loop, one pick of struck dispatchers, dead state gone

Both runs picked the dispatchers that a trouble strikes by code of their own, and once for each dispatcher; struck_dispatchers does it once, so that a reload listed first can no longer make them differ. Both kinds of connection share one read loop; the worker's warmth, the request's name and the peak of traffic are worked out in one place; a copy of each wish, a counter that nothing read, a number of plans, and unused parameters are gone.

--- a/lab/client_driver.cpp
+++ b/lab/client_driver.cpp
@@ -10,12 +10,6 @@
 
 namespace woadridge::lab {
 
-std::string request_name(RequestId request) {
-  char text[20];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(request));
-  return text;
-}
-
 std::optional<RequestId> request_of(std::string_view name) {
   RequestId request = 0;
   const char* end = name.data() + name.size();
@@ -81,8 +75,8 @@
 
   void write() {  // a request is far smaller than the system's buffer
     net::Fault fault;
-    sent_ = socket_.write_some(boost::asio::buffer(request_), fault);
-    if (fault || sent_ < request_.size()) return ended();
+    const std::size_t sent = socket_.write_some(boost::asio::buffer(request_), fault);
+    if (fault || sent < request_.size()) return ended();
     driver_.clients_.taken(wish_.request);
   }
 
@@ -111,7 +105,7 @@
     used_ = true;
     driver_.busy_.erase(request);
     driver_.clients_.answered(driver_.now(), request, kind, static_cast<Micros>(seconds * 1e6), genuine);
-    driver_.settle();
+    driver_.arm();
   }
 
   void refused() {
@@ -119,7 +113,7 @@
     close();
     driver_.busy_.erase(request);
     driver_.clients_.unreachable(driver_.now(), request);
-    driver_.settle();
+    driver_.arm();
   }
 
   // Closed with no answer. On a kept connection the close may have crossed the request: it is sent once more.
@@ -139,7 +133,7 @@
       return other->carry(again);
     }
     driver_.clients_.broken(driver_.now(), request, driver_.killed_);
-    driver_.settle();
+    driver_.arm();
   }
 
   ClientDriver& driver_;
@@ -147,7 +141,6 @@
   net::HttpReader reader_;
   Wish wish_;
   std::string request_;
-  std::size_t sent_ = 0;
   bool up_ = false, used_ = false, closed_ = false;
 };
 
@@ -205,10 +198,6 @@
   });
 }
 
-void ClientDriver::settle() {
-  arm();
-}
-
 }  // namespace woadridge::lab
 
 #include <boost/asio/unyield.hpp>
--- a/lab/client_driver.h
+++ b/lab/client_driver.h
@@ -11,7 +11,6 @@
 
 namespace woadridge::lab {
 
-std::string request_name(RequestId request);  // 16 hexadecimal digits
 std::optional<RequestId> request_of(std::string_view name);
 
 class ClientDriver : private ClientsOut {
@@ -34,7 +33,6 @@
   void leave(RequestId request) override;
   Micros now() { return last_ = std::max(last_, clock_.now()); }
   void arm();
-  void settle();
 
   net::Strand strand_;
   const net::Clock& clock_;
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -50,6 +50,7 @@
       dispatcher_(dispatcher),
       begin_(begin),
       out_(out),
+      peak_factor_(peak_factor()),
       trace_next_(dispatcher),
       retry_random_(scenario.seed, "retries", dispatcher),
       keys_(scenario.seed, "keys", dispatcher),
@@ -57,7 +58,7 @@
       tenant_ends_(cumulative(scenario.tenants)) {
   if (!scenario.traffic.trace.empty()) return;
   const double usual = rate_of(scenario) * part_of(scenario, dispatcher);
-  sources_.push_back({Stream(scenario.seed, "arrivals", dispatcher), usual * peak_factor(), -1, begin,
+  sources_.push_back({Stream(scenario.seed, "arrivals", dispatcher), usual * peak_factor_, -1, begin,
                       begin + scenario.length});
   std::uint64_t number = 0;
   for (const auto& t : scenario.troubles) {
@@ -102,12 +103,11 @@
   source.next = INT64_MAX;
   if (source.peak <= 0) return;
   double at = static_cast<double>(after - begin_);
-  const double peak_factor_here = peak_factor();
   while (true) {
     at += source.random.exponential(1e6 / source.peak);
     const Micros when = begin_ + static_cast<Micros>(at);
     if (when >= source.until) return;
-    if (source.tenant >= 0 || source.random.uniform() * peak_factor_here < factor_at(when)) {
+    if (source.tenant >= 0 || source.random.uniform() * peak_factor_ < factor_at(when)) {
       source.next = when;
       return;
     }
@@ -141,7 +141,6 @@
         Ask ask = asks_[timer.again - 1];
         Wish wish = wishes_[timer.again - 1];
         ++ask.number;
-        --retries_due_;
         send(at, ask, wish);
       }
       continue;
@@ -289,7 +288,6 @@
     if (c.heeds && ask.hold_off > 0) wait = static_cast<double>(ask.hold_off);
     wait *= 1 + c.jitter * retry_random_.uniform();
     ask.last = false;
-    ++retries_due_;
     timers_.push({now + static_cast<Micros>(wait), ++orders_, 0, index + 1});
   }
   next_waiting(now);
--- a/lab/clients.h
+++ b/lab/clients.h
@@ -71,7 +71,7 @@
   };
 
   double factor_at(Micros now) const;
-  double peak_factor() const;
+  double peak_factor() const;  // of the whole run
   void plan(Source& source, Micros after);
   void arrive(Micros now, Source& source);
   void arrive(Micros now, const TraceRow& row);
@@ -88,6 +88,7 @@
   DispatcherId dispatcher_;
   Micros begin_;
   ClientsOut& out_;
+  double peak_factor_;
   std::vector<Source> sources_;
   std::size_t trace_next_;
   Stream retry_random_;
@@ -99,7 +100,6 @@
   std::vector<bool> open_;
   std::vector<Micros> first_asked_;  // of the chain, by ask
   std::size_t open_count_ = 0;
-  std::size_t retries_due_ = 0;
   std::deque<std::pair<Ask, Wish>> waiting_;      // for a connection
   std::vector<double> class_ends_, tenant_ends_;  // cumulative shares
 };
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -23,6 +23,18 @@
   return scenario.fleet.zones[dispatcher % scenario.fleet.zones.size()];
 }
 
+std::vector<std::vector<DispatcherId>> struck_dispatchers(const Scenario& scenario) {
+  Stream random(scenario.seed, "dispatcher troubles");
+  std::vector<std::vector<DispatcherId>> struck(scenario.troubles.size());
+  for (std::size_t i = 0; i < struck.size(); ++i) {
+    if (scenario.troubles[i].kind < TroubleKind::kill_dispatcher) continue;
+    for (int d = 0; d < scenario.dispatchers; ++d) struck[i].push_back(static_cast<DispatcherId>(d));
+    random.shuffle(struck[i]);
+    struck[i].resize(static_cast<std::size_t>(whole_share(scenario.troubles[i].share, struck[i].size())));
+  }
+  return struck;
+}
+
 void ToldBook::learn(DispatcherId dispatcher, const ListNews& news, Micros now, std::vector<Told>& into) {
   if (news.kind == ListKind::failed) return;
   if (news.kind == ListKind::full) {  // whoever is absent is gone
@@ -107,7 +119,7 @@
   switch (due.what) {
     case What::job_ends: {
       const auto job = workers_[w].jobs.find(due.b);
-      if (job != workers_[w].jobs.end() && job->second.running && job->second.settled >= 0) {
+      if (job != workers_[w].jobs.end() && job->second.running) {
         Job& j = job->second;
         const double left = j.left - workers_[w].rate * static_cast<double>(now - j.settled);
         if (workers_[w].rate > 0 && left < 0.5 + workers_[w].rate)
@@ -121,7 +133,7 @@
       Job& j = job->second;
       const double left = j.left - workers_[w].rate * static_cast<double>(now - j.settled);
       if (workers_[w].hung == 0)
-        say(now, w, j, Said::progress, std::clamp(1 - left / std::max(1.0, j.offer.work), 0.0, 1.0));
+        say(w, j, Said::progress, std::clamp(1 - left / std::max(1.0, j.offer.work), 0.0, 1.0));
       return set(now + scenario_.fleet.progress_every, What::progress, due.a, due.b);
     }
     case What::warm_step:
@@ -191,15 +203,15 @@
   job.left = offer.work + (offer.fresh ? static_cast<double>(scenario_.fleet.connection_work) : 0);
   job.sent = record;
   w.by_ref[offer.ref] = number;
-  if (w.silent > 0) return say(now, index, job, Said::connected);
+  if (w.silent > 0) return say(index, job, Said::connected);
   if (static_cast<int>(w.queue.size()) >= scenario_.fleet.queue && w.running >= w.slots) {
     records_.sends[record].given_back = now;
     return end_job(now, index, number, Said::returned);
   }
   w.queue.push_back(number);
-  if (w.hung > 0) return say(now, index, job, Said::connected);
+  if (w.hung > 0) return say(index, job, Said::connected);
   job.said_taken = true;
-  say(now, index, job, Said::taken);
+  say(index, job, Said::taken);
   begin_waiting(now, index);
 }
 
@@ -214,8 +226,7 @@
     w.recent_work -= w.recent.front().second;
     w.recent.pop_front();
   }
-  const double warm = static_cast<double>(now - w.started) / static_cast<double>(spec.warm_after);
-  const double can = records_.workers[index].capacity * (spec.cold_from + (1 - spec.cold_from) * warm);
+  const double can = records_.workers[index].capacity * warm_part(now, w);
   if (w.recent_work <= spec.overload_factor * can * static_cast<double>(spec.overload_for)) return;
   w.fallen = true;
   die(now, index);
@@ -303,7 +314,7 @@
   ++w.running;
   job.run = records_.runs.size();
   records_.runs.push_back({job.offer.ref.request, job.offer.key, index, job.offer.class_index, now});
-  if (scenario_.fleet.tells_start) say(now, index, job, Said::started);
+  if (scenario_.fleet.tells_start) say(index, job, Said::started);
   if (scenario_.fleet.progress_every > 0)
     set(now + scenario_.fleet.progress_every, What::progress, index, number);
   if (w.rate > 0)
@@ -319,14 +330,19 @@
   }
 }
 
+// What a worker does of its work: all of it once it is warm.
+double Fleet::warm_part(Micros now, const Worker& w) const {
+  const FleetSpec& spec = scenario_.fleet;
+  if (w.started == 0 || spec.warm_after <= 0) return 1;
+  const double warm =
+      std::min(1.0, static_cast<double>(now - w.started) / static_cast<double>(spec.warm_after));
+  return spec.cold_from + (1 - spec.cold_from) * warm;
+}
+
 double Fleet::speed_now(Micros now, WorkerIndex index) const {
   const Worker& w = workers_[index];
   if (!w.up || w.hung > 0) return 0;
-  const double warm = w.started == 0 || scenario_.fleet.warm_after <= 0
-                          ? 1.0
-                          : std::min(1.0, static_cast<double>(now - w.started) /
-                                              static_cast<double>(scenario_.fleet.warm_after));
-  return w.speed * (scenario_.fleet.cold_from + (1 - scenario_.fleet.cold_from) * warm) / w.slow;
+  return w.speed * warm_part(now, w) / w.slow;
 }
 
 // The worker's rate has changed: what runs is settled at the old one and its ends are planned anew.
@@ -341,7 +357,7 @@
           What::job_ends, index, number);
 }
 
-void Fleet::say(Micros, WorkerIndex index, const Job& job, Said said, double share) {
+void Fleet::say(WorkerIndex index, const Job& job, Said said, double share) {
   if (job.orphan) return;
   if (cut(index, job.offer.ref.dispatcher)) {
     if (is_last(said)) unsaid_.emplace(index, job.offer.ref);
@@ -363,7 +379,7 @@
   remove(index, number);
   const bool ran = job.running && said == Said::done;
   if (ran) records_.runs[job.run].ended = now;
-  say(now, index, job, said);
+  say(index, job, said);
   if (job.running) release_key(now, index, job, number, ran);
   begin_waiting(now, index);
 }
@@ -390,7 +406,7 @@
   if (gone) end_job(now, index, number, Said::lost);
 }
 
-int Fleet::probe(Micros, WorkerIndex index) {
+int Fleet::probe(WorkerIndex index) const {
   const Worker& w = workers_[index];
   return accepts(index) && w.hung == 0 && w.silent == 0 ? free_slots(index) : -1;
 }
@@ -428,7 +444,7 @@
     const std::uint64_t number = w.jobs.begin()->first;
     const Job job = w.jobs.begin()->second;
     remove(index, number);
-    say(now, index, job, Said::broken);
+    say(index, job, Said::broken);
     if (job.running) release_key(now, index, job, number, false);
   }
   w.queue.clear();
@@ -461,7 +477,7 @@
     if (t.group >= 0 && facts.group != t.group) continue;
     fit.push_back(i);
   }
-  for (std::size_t i = fit.size(); i > 1; --i) std::swap(fit[i - 1], fit[trouble_random_.below(i)]);
+  trouble_random_.shuffle(fit);
   if (t.share > 0 && !fit.empty())
     fit.resize(std::min(fit.size(), static_cast<std::size_t>(whole_share(t.share, fit.size()))));
   return fit;
@@ -495,7 +511,7 @@
   }
   if (t.kind == TroubleKind::partition) {
     cut_zones_.erase(cut_zones_.find(t.zone));
-    return end_partition(now);
+    return end_partition();
   }
   for (const WorkerIndex w : trouble_targets_[index]) apply(now, w, t, false);
 }
@@ -514,7 +530,7 @@
       replan(now, index);
       if (w.hung > 0) return;
       for (auto& [number, job] : w.jobs)
-        if (!std::exchange(job.said_taken, true) && !job.running) say(now, index, job, Said::taken);
+        if (!std::exchange(job.said_taken, true) && !job.running) say(index, job, Said::taken);
       return begin_waiting(now, index);
     case TroubleKind::slow:
       w.slow = on ? w.slow * t.factor : w.slow / t.factor;
@@ -564,7 +580,7 @@
 }
 
 // Connections across the cut are reset when the machines meet again; the jobs go on unheard.
-void Fleet::end_partition(Micros) {
+void Fleet::end_partition() {
   for (WorkerIndex i = 0; i < workers_.size(); ++i) {
     for (auto& [number, job] : workers_[i].jobs) {
       if (cut(i, job.offer.ref.dispatcher) ||
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -103,6 +103,8 @@
 
 // The zone of a dispatcher: they are dealt out in turn.
 const std::string& zone_of(const Scenario& scenario, DispatcherId dispatcher);
+// Whom each trouble of dispatchers strikes, picked by the seed; by trouble, empty for the others.
+std::vector<std::vector<DispatcherId>> struck_dispatchers(const Scenario& scenario);
 
 class Fleet {
  public:
@@ -121,7 +123,7 @@
   bool accepts(WorkerIndex worker) const;  // new connections come up
   bool reachable(WorkerIndex worker, const std::string& from_zone) const;
   bool list_up() const { return list_outages_ == 0; }
-  int probe(Micros now, WorkerIndex worker);  // free slots, or -1 for no answer
+  int probe(WorkerIndex worker) const;  // free slots, or -1 for no answer
 
   const std::vector<WorkerFacts>& facts() const { return records_.workers; }
   WorkerIndex index_of(const std::string& name) const;  // facts().size(): unknown
@@ -163,10 +165,9 @@
     bool running = false;
     bool follows = false;  // its key runs elsewhere: it waits for that answer
     bool said_taken = false;
-    bool orphan = false;     // its connection is gone: nobody hears of it
-    double left = 0;         // work
-    Micros settled = 0;      // time up to which `left` counts
-    std::uint64_t plan = 0;  // of its end; an older one is void
+    bool orphan = false;  // its connection is gone: nobody hears of it
+    double left = 0;      // work
+    Micros settled = 0;   // time up to which `left` counts
   };
   struct Worker {
     int slots = 1;
@@ -209,8 +210,9 @@
   void settle(Micros now, Worker& w);
   void replan(Micros now, WorkerIndex w);
   void end_job(Micros now, WorkerIndex w, std::uint64_t number, Said said);
-  void say(Micros now, WorkerIndex w, const Job& job, Said said, double share = 0);
+  void say(WorkerIndex w, const Job& job, Said said, double share = 0);
   void remove(WorkerIndex w, std::uint64_t number);
+  double warm_part(Micros now, const Worker& w) const;
   void count_cold(Micros now, WorkerIndex w, double work);
 
   void die(Micros now, WorkerIndex w);
@@ -220,7 +222,7 @@
   void apply(Micros now, WorkerIndex w, const Trouble& trouble, bool on);
   std::vector<WorkerIndex> targets(const Trouble& trouble);
   void release_step(Micros now, std::size_t index, std::uint64_t step);
-  void end_partition(Micros now);
+  void end_partition();
   bool cut(WorkerIndex w, DispatcherId d) const;
 
   void list_changed(Micros now, WorkerIndex w, Phase phase);
@@ -238,7 +240,6 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::uint64_t orders_ = 0;
   std::uint64_t numbers_ = 0;
-  std::uint64_t plans_ = 0;
   Stream list_random_;
   Stream trouble_random_;
   std::vector<std::vector<WorkerIndex>> trouble_targets_;
--- a/lab/fleet_server.cpp
+++ b/lab/fleet_server.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/write.hpp>
 
 #include "lab/figures.h"
-#include "lab/virtual.h"
 
 // Last: it defines the words of the coroutines as macros.
 // clang-format off
@@ -78,16 +77,36 @@
   Taken taken_;
 };
 
+// What both kinds of connection do: wait for bytes and hand them on, until one side closes. `Self` has
+// read(fault) and gone().
+template <typename Self>
+class ReadLoop : public std::enable_shared_from_this<Self>, private boost::asio::coroutine {
+ protected:
+  explicit ReadLoop(net::Socket socket) : socket_(std::move(socket)) {}
+  void run(net::Fault fault) {
+    Self& self = static_cast<Self&>(*this);
+    const auto resume = [kept = this->shared_from_this()](net::Fault f) {
+      if (!kept->closed_) kept->run(f);
+    };
+    reenter(this) {
+      while (!closed_) {
+        yield socket_.async_wait(net::Socket::wait_read, resume);
+        if (!fault) self.read(fault);
+        if (fault && fault != boost::asio::error::would_block) return self.gone();
+      }
+    }
+  }
+
+  net::Socket socket_;
+  net::HttpReader reader_{net::HttpReader::Side::requests};
+  bool closed_ = false;
+};
+
 // A dispatcher's connection to a worker: one request at a time; what the model says is written in its order.
-class FleetServer::WorkerSide : public std::enable_shared_from_this<WorkerSide>,
-                                private boost::asio::coroutine {
+class FleetServer::WorkerSide : public ReadLoop<WorkerSide> {
  public:
   WorkerSide(FleetServer& server, WorkerIndex worker, net::Socket socket)
-      : server_(server),
-        worker_(worker),
-        socket_(std::move(socket)),
-        pause_(server.strand_),
-        reader_(net::HttpReader::Side::requests) {}
+      : ReadLoop(std::move(socket)), server_(server), worker_(worker), pause_(server.strand_) {}
 
   void start() {
     net::Fault ignored;
@@ -150,6 +169,7 @@
   }
 
  private:
+  friend class ReadLoop<WorkerSide>;
   bool small() const { return server_.scenario_.fleet.small_writes && !pieces_.empty(); }
   void put(std::string text) {
     said_ = true;
@@ -206,19 +226,6 @@
     if (reader_.state() == net::HttpReader::State::complete) take_request();
   }
 
-  void run(net::Fault fault) {
-    const auto resume = [self = shared_from_this()](net::Fault f) {
-      if (!self->closed_) self->run(f);
-    };
-    reenter(this) {
-      while (!closed_) {
-        yield socket_.async_wait(net::Socket::wait_read, resume);
-        if (!fault) read(fault);
-        if (fault && fault != boost::asio::error::would_block) return gone();
-      }
-    }
-  }
-
   void read(net::Fault& fault) {
     const auto room = reader_.room();
     if (room.empty()) return die();
@@ -253,7 +260,7 @@
 
   void probe() {
     const bool known = reader_.target() == "/ping";
-    answer(!known ? 404 : server_.fleet_.probe(server_.now(), worker_) >= 0 ? 200 : 503);
+    answer(!known ? 404 : server_.fleet_.probe(worker_) >= 0 ? 200 : 503);
   }
 
   void answer(int status) {
@@ -282,25 +289,19 @@
 
   FleetServer& server_;
   WorkerIndex worker_;
-  net::Socket socket_;
   net::Timer pause_;
-  net::HttpReader reader_;
   AttemptRef ref_;
   std::string id_, out_, trickle_;
   std::deque<std::size_t> pieces_;
   Micros first_byte_ = 0;
-  bool fresh_ = true, busy_ = false, said_ = false, over_ = false, trickling_ = false, closed_ = false;
+  bool fresh_ = true, busy_ = false, said_ = false, over_ = false, trickling_ = false;
 };
 
 // A dispatcher's call of the list: the whole of it once, or a watch.
-class FleetServer::ListSide : public std::enable_shared_from_this<ListSide>, private boost::asio::coroutine {
+class FleetServer::ListSide : public ReadLoop<ListSide> {
  public:
   ListSide(FleetServer& server, DispatcherId dispatcher, net::Socket socket)
-      : server_(server),
-        dispatcher_(dispatcher),
-        socket_(std::move(socket)),
-        beat_(server.strand_),
-        reader_(net::HttpReader::Side::requests) {}
+      : ReadLoop(std::move(socket)), server_(server), dispatcher_(dispatcher), beat_(server.strand_) {}
 
   void start() {
     net::Fault ignored;
@@ -331,19 +332,7 @@
   }
 
  private:
-  void run(net::Fault fault) {
-    const auto resume = [self = shared_from_this()](net::Fault f) {
-      if (!self->closed_) self->run(f);
-    };
-    reenter(this) {
-      while (!closed_) {
-        yield socket_.async_wait(net::Socket::wait_read, resume);
-        if (!fault) read(fault);
-        if (fault && fault != boost::asio::error::would_block) return gone();
-      }
-    }
-  }
-
+  friend class ReadLoop<ListSide>;
   void read(net::Fault& fault) {
     const auto room = reader_.room();
     if (room.empty()) return gone();
@@ -412,11 +401,9 @@
 
   FleetServer& server_;
   DispatcherId dispatcher_;
-  net::Socket socket_;
   net::Timer beat_;
-  net::HttpReader reader_;
   std::deque<std::string> queue_;
-  bool watching_ = false, begun_ = false, closed_ = false;
+  bool watching_ = false, begun_ = false;
 };
 
 FleetServer::FleetServer(net::Strand strand, const net::Clock& clock, const Scenario& scenario, Micros begin,
--- a/lab/judge.cpp
+++ b/lab/judge.cpp
@@ -31,11 +31,7 @@
     return text;
   }
 
-  static std::string name(RequestId request) {
-    char text[32];
-    std::snprintf(text, sizeof text, "request %016llx", static_cast<unsigned long long>(request));
-    return text;
-  }
+  static std::string name(RequestId request) { return "request " + request_name(request); }
 
   const std::string& worker(WorkerIndex index) const { return records_.workers[index].name; }
 
--- a/lab/random.h
+++ b/lab/random.h
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstdint>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace woadridge::lab {
@@ -26,6 +27,10 @@
   }
   double normal() { return boost::random::normal_distribution<double>()(engine_); }
   std::uint64_t bits() { return engine_(); }
+  template <typename Item>
+  void shuffle(std::vector<Item>& items) {
+    for (std::size_t i = items.size(); i > 1; --i) std::swap(items[i - 1], items[below(i)]);
+  }
   std::size_t below(std::size_t count) {
     return static_cast<std::size_t>(uniform() * static_cast<double>(count));
   }
--- a/lab/records.h
+++ b/lab/records.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <cstdio>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,12 @@
 using WorkerIndex = std::uint32_t;
 constexpr Micros kNever = -1;
 
+inline std::string request_name(RequestId request) {  // 16 hexadecimal digits
+  char text[20];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(request));
+  return text;
+}
+
 struct Ask {  // one request of a client: a first try or a retry
   RequestId request = 0;
   std::uint64_t chain = 0;  // the same for a first try and its retries
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -70,9 +70,8 @@
   Micros connect_timeout = 250'000;
 };
 
-struct Step {  // from `at` on traffic is `factor` times the usual; for a burst until `until`
+struct Step {  // from `at` on traffic is `factor` times the usual
   Micros at = 0;
-  Micros until = 0;
   double factor = 1;
 };
 
--- a/lab/sockets.cpp
+++ b/lab/sockets.cpp
@@ -176,8 +176,7 @@
   void write_config(std::size_t d) {
     const auto id = static_cast<DispatcherId>(d);
     std::ofstream(path(d, ".json")) << dispatcher_config(scenario_, id, net::to_text(listens_[d]),
-                                                         net::to_text(server_->list_address(id, doors_[d])),
-                                                         R"({"index":0,"snapshot":true,"endpoints":[]})");
+                                                         net::to_text(server_->list_address(id, doors_[d])));
   }
 
   void start_process(std::size_t d) {
@@ -216,15 +215,10 @@
   }
 
   void plan_troubles() {
-    Stream random(scenario_.seed, "dispatcher troubles");
-    for (const auto& t : scenario_.troubles) {
-      if (t.kind < TroubleKind::kill_dispatcher) continue;
-      const auto hit = std::max(1.0, std::round(t.share * static_cast<double>(processes_.size())));
-      std::vector<std::size_t> all(processes_.size());
-      for (std::size_t i = 0; i < all.size(); ++i) all[i] = i;
-      for (std::size_t i = all.size(); i > 1; --i) std::swap(all[i - 1], all[random.below(i)]);
-      for (std::size_t i = 0; i < static_cast<std::size_t>(hit); ++i) {
-        const std::size_t d = all[i];
+    const auto struck = struck_dispatchers(scenario_);
+    for (std::size_t i = 0; i < struck.size(); ++i) {
+      const Trouble& t = scenario_.troubles[i];
+      for (const std::size_t d : struck[i]) {
         if (t.kind == TroubleKind::reload_dispatcher) at(begin_ + t.at, [this, d] { reload(d); });
         else if (t.kind == TroubleKind::kill_dispatcher) at(begin_ + t.at, [this, d, t] { kill(d, t.span); });
         else at(begin_ + t.at, [this, d, t] { end(d, t.span); });
@@ -388,7 +382,7 @@
 }
 
 std::string dispatcher_config(const Scenario& s, DispatcherId d, const std::string& listen,
-                              const std::string& discovery, const std::string& known) {
+                              const std::string& discovery) {
   const Settings set = settings_for(s, zone_of(s, d), 0);
   Json settings{{"az", set.zone},   {"zones", s.fleet.zones},   {"fleet-size", set.fleet_size},
                 {"tick", set.tick}, {"membership-mode", "ask"}, {"over-share-worth", set.over_share_worth}};
@@ -428,7 +422,7 @@
               {"discovery", discovery},
               {"seed", seed},
               {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}}};
-  config["known"] = Json::parse(known);
+  config["known"] = {{"index", 0}, {"snapshot", true}, {"endpoints", Json::array()}};  // it asks
   config["settings"] = std::move(settings);
   return config.dump(1) + "\n";
 }
--- a/lab/sockets.h
+++ b/lab/sockets.h
@@ -27,7 +27,7 @@
 
 // The configuration of one dispatcher, as JSON text.
 std::string dispatcher_config(const Scenario& scenario, DispatcherId dispatcher, const std::string& listen,
-                              const std::string& discovery, const std::string& known);
+                              const std::string& discovery);
 
 struct FleetCall {  // woadridge-lab fleet
   int workers = 3;
--- a/lab/virtual.cpp
+++ b/lab/virtual.cpp
@@ -50,6 +50,7 @@
   std::unordered_map<WorkerId, WorkerIndex> names;
   ListNews first_list;
   const Truth* truth = nullptr;
+  std::vector<std::vector<DispatcherId>> struck;
 
   // One way. Fixed for an attempt, so that its messages keep their order.
   Micros delay(DispatcherId d, WorkerIndex w, const AttemptRef& ref) const {
@@ -168,17 +169,10 @@
   };
 
   void plan_troubles() {
-    Stream random(world_.scenario.seed, "dispatcher troubles");
-    for (const auto& t : world_.scenario.troubles) {
-      if (t.kind != TroubleKind::kill_dispatcher && t.kind != TroubleKind::restart_dispatcher) continue;
-      const std::size_t count = static_cast<std::size_t>(world_.scenario.dispatchers);
-      const auto hit =
-          static_cast<std::size_t>(std::max(1.0, std::round(t.share * static_cast<double>(count))));
-      std::vector<DispatcherId> all(count);
-      for (std::size_t i = 0; i < count; ++i) all[i] = static_cast<DispatcherId>(i);
-      for (std::size_t i = count; i > 1; --i) std::swap(all[i - 1], all[random.below(i)]);
-      if (std::find(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(hit), id_) ==
-          all.begin() + static_cast<std::ptrdiff_t>(hit))
+    for (std::size_t i = 0; i < world_.struck.size(); ++i) {
+      const Trouble& t = world_.scenario.troubles[i];
+      if (t.kind == TroubleKind::reload_dispatcher) continue;  // nothing to read again here
+      if (std::find(world_.struck[i].begin(), world_.struck[i].end(), id_) == world_.struck[i].end())
         continue;
       const bool planned = t.kind == TroubleKind::restart_dispatcher;
       if (planned) set(kBegin + t.at, What::ending);
@@ -205,7 +199,6 @@
 
   // ---- from the clients ----
   void ask(const Wish& wish) override {
-    wishes_[wish.request] = wish;
     set(now_ + world_.scenario.network.local, What::arrive, wish.request);
   }
   void leave(RequestId request) override { set(now_ + world_.scenario.network.local, What::left, request); }
@@ -283,8 +276,7 @@
   }
 
   void arrive(RequestId request) {
-    const auto node = wishes_.extract(request);
-    const Wish& wish = node.mapped();
+    const Wish& wish = *clients_of(request).wish_of(request);
     if (!alive_ || ending_at_ > 0) {
       set(now_ + world_.scenario.network.local, What::unreachable, request);
       return;
@@ -491,7 +483,6 @@
   std::uint64_t sent_ = 0;
   std::priority_queue<ToSite, std::vector<ToSite>, Later> inbox_;
   std::vector<ToFleet> outbox_;
-  std::unordered_map<RequestId, Wish> wishes_;  // on their way to the dispatcher
   std::map<RequestId, Open> requests_;
   std::deque<Event> given_;
   bool giving_ = false;
@@ -646,7 +637,7 @@
   Play(const Scenario& scenario, Policy policy, const RunOptions& options)
       : scenario_(scenario),
         options_(options),
-        world_{scenario, policy, options, nullptr, {}, {}, nullptr},
+        world_{scenario, policy, options, nullptr, {}, {}, nullptr, struck_dispatchers(scenario)},
         shards_(static_cast<std::size_t>(
             is_central(policy) ? 1 : std::clamp(options.jobs, 1, std::max(1, scenario.dispatchers)))),
         yard_(scenario, world_, shards_.size()) {
