--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -75,7 +75,10 @@
     if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
     ++lists;
-    for (const auto& info : news.workers) show(remember(info));
+    for (auto info : news.workers) {
+      if (!set.weights_are_sizes) info.size = 1;  // a load or a rough guess: would make a kind of each value
+      show(remember(info));
+    }
     if (news.kind != ListKind::changes) mark_absent();
     for (const auto& id : leaving) show(workers[id]);
     forget_gone();
--- a/src/decide.h
+++ b/src/decide.h
@@ -53,6 +53,7 @@
   std::vector<TenantSettings> tenants;
   double over_share_worth = 1;
   ListMode list_mode = ListMode::pushed;
+  bool weights_are_sizes = true;  // the list's weights are nominal sizes
   ReportSource reports = ReportSource::none;
   bool tells_taken = false;   // workers say at once that they have a job
   bool tells_start = false;   // workers say when a job starts
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -94,6 +94,7 @@
   s.over_share_worth = values.number_or("over-share-worth", 1);
   s.list_mode = choose<ListMode>("list mode", values.text_or("membership-mode", "push"),
                                  {{"push", ListMode::pushed}, {"ask", ListMode::asked}});
+  s.weights_are_sizes = values.text_or("weight-source", "nominal") == "nominal";
   s.reports = choose<ReportSource>(
       "report source", values.text_or("load-info.via", "none"),
       {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probes}});
