A job's key and the list's moving weights reach the module; vain waits end at once

A job with a key begins at the key's place of the workers' common order; a weight that moves with load gives what others use there; a job that has not started at its last start is called off and refused where late answers earn nothing.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -62,6 +62,7 @@
       report.free_slots = parse_real(name, pair.substr(at + 1));
     if (!fields.busy_share.empty() && name == fields.busy_share)
       report.busy_share = parse_real(name, pair.substr(at + 1));
+    if (!fields.held.empty() && name == fields.held) report.held = parse_real(name, pair.substr(at + 1));
   }
   return report;
 }
@@ -74,6 +75,7 @@
   a.time_left = line.whole("ttl");
   if (line.find("cost-guess") != nullptr) a.hint = line.whole("cost-guess");
   a.slots = line.number_or("needs", 1);
+  if (line.find("name-key") != nullptr) a.key = line.natural("name-key");
   a.repeated = line.flag_or("resent", false);
   return a;
 }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -76,8 +76,10 @@
     if (news.kind != ListKind::remembered) failed_asks = 0;
     ++lists;
     for (auto info : news.workers) {
-      if (!set.weights_are_sizes) info.size = 1;  // a load or a rough guess: would make a kind of each value
-      show(remember(info));
+      const double weight = std::exchange(info.size, set.weights == Weights::nominal ? info.size : 1);
+      Worker& w = remember(info);
+      if (set.weights == Weights::live) see_weight(w, weight);
+      show(w);
     }
     if (news.kind != ListKind::changes) mark_absent();
     for (const auto& id : leaving) show(workers[id]);
@@ -85,6 +87,14 @@
     set_lanes();
   }
 
+  // Weights that move with load tell what each worker holds, the same to all dispatchers and late; its slots
+  // stand for its cores.
+  void see_weight(Worker& w, double weight) {
+    if (!(weight > 0) || !std::isfinite(weight)) return;
+    w.of->nominal = std::max(w.of->nominal, weight);
+    see_others(w, std::max(0.0, w.of->slots * (w.of->nominal / weight - 1) - w.out));
+  }
+
   double speed(const Worker& w) const {  // own jobs there, leaning on its kind until there are some
     const double lean = std::max(1.0, mean_run);
     return (w.pace.work + lean * w.of->pace.speed(kUnknownSpeed)) / (w.pace.time + lean);
@@ -262,6 +272,7 @@
     r.slots = std::max(a.slots, 1.0);
     r.of = class_named(a.class_name);
     r.arrival = ++arrivals;
+    r.key = a.key;
     r.hinted = a.hint.has_value();
     r.work = r.hinted ? static_cast<double>(*a.hint) : mean_run;
     if (a.hint) learn_hint(*a.hint);
@@ -443,9 +454,25 @@
     return !set.tells_start && !w.reported ? -(w.out + 1) / speed(w) : free * speed(w);
   }
 
+  // Guards against a fetch for each job: those about one thing begin at one place of the order common to all
+  // dispatchers, so that the same few workers keep what they need.
+  Worker* keeper(const Request& r) {
+    const auto row = shelves.rows().find(r.queue.kind);
+    if (!r.key || row == shelves.rows().end()) return nullptr;
+    const auto& ring = row->second.workers;
+    auto spot = ring.from(key_hash(*r.key));
+    for (int looked = 0; looked < kRanked && looked < static_cast<int>(ring.size()); ++looked, ++spot) {
+      if (spot == ring.end()) spot = ring.begin();
+      Worker& w = static_cast<Worker&>(*spot->owner);
+      if (w.big_lane == (r.big && split) && room(w) >= r.slots && may_take(w, r)) return &w;
+    }
+    return nullptr;
+  }
+
   // Own lane first; then small jobs on big-lane workers no big job waits for, big ones on idle small ones.
   Worker* pick(const Request& r) {
-    Worker* own = best(r, r.big, false);
+    Worker* own = keeper(r);
+    if (own == nullptr) own = best(r, r.big, false);
     const auto big = [](auto& q) { return q.first.big; };
     if (own != nullptr || (!r.big && std::any_of(queues.begin(), queues.end(), big))) return own;
     return best(r, !r.big, r.big && split);
@@ -664,7 +691,7 @@
   void vain(Request& r, const Attempt& a) {
     if (a.seen_start || trial.id == r.id) return;
     see_wait(a);
-    if (evidence >= kBelieved && r.of->late_worth <= 0 && !r.any_running() && may_refuse(r)) give_up(r);
+    if (set.may_cancel && r.of->late_worth <= 0 && !r.any_running() && may_refuse(r)) give_up(r);
   }
 
   // A job that waits is sent once more where room is thought to be, and the first to start is kept. Only
--- a/src/decide.h
+++ b/src/decide.h
@@ -18,6 +18,7 @@
 enum class Effect { safe, keyed, unsafe };                  // may a request be repeated?
 enum class Scope { all, zone, group };                      // which workers drop a keyed repeat
 enum class ReportSource { none, answers, probes };          // how load reports reach the dispatcher
+enum class Weights { none, nominal, rough, live };          // what the list's weights are; live: see WorkerInfo
 enum class ListMode { pushed, asked };                      // how the list of workers reaches it
 enum class Phase { serving, draining, gone };               // a worker's state in the list
 enum class ListKind { changes, full, remembered, failed };  // what a list event holds
@@ -53,7 +54,7 @@
   std::vector<TenantSettings> tenants;
   double over_share_worth = 1;
   ListMode list_mode = ListMode::pushed;
-  bool weights_are_sizes = true;  // the list's weights are nominal sizes
+  Weights weights = Weights::nominal;
   ReportSource reports = ReportSource::none;
   bool tells_taken = false;   // workers say at once that they have a job
   bool tells_start = false;   // workers say when a job starts
@@ -77,6 +78,7 @@
 
 struct Report {  // a worker's word on its load: late and a little noisy
   std::optional<double> free_slots;
+  std::optional<double> held;  // requests in work and waiting
   std::optional<double> busy_share;
 };
 
@@ -85,7 +87,7 @@
   std::string kind;
   std::string zone;
   std::int64_t group = 0;
-  double size = 1;
+  double size = 1;     // live weights: the nominal size divided by 1 + requests held a core
   Micros started = 0;  // time of the last start; 0: long ago
   Phase phase = Phase::serving;
 };
@@ -108,6 +110,7 @@
   Micros time_left = 0;        // until the client gives this try up
   std::optional<Micros> hint;  // expected work, on a standard core
   double slots = 1;
+  std::optional<std::uint64_t> key;  // what the job is about: workers keep what such jobs need for a while
   bool repeated = false;  // the client says that it has asked before
   bool crowded = false;   // the dispatcher has no descriptor to hold it with
 };
--- a/src/index/shelves.h
+++ b/src/index/shelves.h
@@ -40,12 +40,17 @@
 
   auto begin() const { return spots_.begin(); }
   auto end() const { return spots_.end(); }
+  auto from(std::uint64_t hash) const {  // the first there or after it
+    return spots_.lower_bound(hash, [](const auto& a, const auto& b) { return place(a) < place(b); });
+  }
   std::size_t size() const { return spots_.size(); }
   bool empty() const { return spots_.empty(); }
   void put(Spot& spot) { spots_.insert(spot); }
   void take(Spot& spot) { spots_.erase(spots_.iterator_to(spot)); }
 
  private:
+  static std::uint64_t place(const Spot& spot) { return spot.hash; }
+  static std::uint64_t place(std::uint64_t hash) { return hash; }
   boost::intrusive::set<Spot, boost::intrusive::compare<Before>> spots_;
 };
 
--- a/src/records.h
+++ b/src/records.h
@@ -39,6 +39,12 @@
   return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
 }
 
+inline std::uint64_t key_hash(std::uint64_t key) {  // spread over all of the workers' common order
+  key = (key ^ (key >> 33)) * 0xff51afd7ed558ccdULL;
+  key = (key ^ (key >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+  return key ^ (key >> 33);
+}
+
 struct Fading {  // a figure that fades from when it was seen last
   double value = 0;
   Micros at = 0;
@@ -66,6 +72,7 @@
 
 struct Kind {  // what all workers of one kind and size have shown
   double slots = 1;
+  double nominal = 0;  // its greatest listed weight: of an idle one, where weights move with load
   Pace pace;
   Micros next_trial = 0;
 };
@@ -171,6 +178,7 @@
   bool big = false;
   bool hinted = false;
   bool over_share = false;
+  std::optional<std::uint64_t> key;
   bool streaming = false;
   bool answered = false;
   bool held = false;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -79,6 +79,7 @@
   for (const auto name : split(values.text_or("load-info.fields", ""), ',')) {
     if (values.text_or("domain.report-" + std::string(name), "") == "free_slots") fields.free_slots = name;
     if (name == "cpu") fields.busy_share = name;
+    if (name == "active") fields.held = name;
   }
   return fields;
 }
@@ -94,7 +95,11 @@
   s.over_share_worth = values.number_or("over-share-worth", 1);
   s.list_mode = choose<ListMode>("list mode", values.text_or("membership-mode", "push"),
                                  {{"push", ListMode::pushed}, {"ask", ListMode::asked}});
-  s.weights_are_sizes = values.text_or("weight-source", "nominal") == "nominal";
+  s.weights = choose<Weights>("weight source", values.text_or("weight-source", "nominal"),
+                              {{"none", Weights::none},
+                               {"nominal", Weights::nominal},
+                               {"rough", Weights::rough},
+                               {"live", Weights::live}});
   s.reports = choose<ReportSource>(
       "report source", values.text_or("load-info.via", "none"),
       {{"none", ReportSource::none}, {"answers", ReportSource::answers}, {"probe", ReportSource::probes}});
