--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -62,7 +62,6 @@
       report.free_slots = parse_real(name, pair.substr(at + 1));
     if (!fields.busy_share.empty() && name == fields.busy_share)
       report.busy_share = parse_real(name, pair.substr(at + 1));
-    if (!fields.held.empty() && name == fields.held) report.held = parse_real(name, pair.substr(at + 1));
   }
   return report;
 }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -161,7 +161,7 @@
       count_report(w);
     }
     show(w);
-    go_on_trial(*r, e.attempt, w);
+    if (!r->answered) go_on_trial(*r, e.attempt, w);  // its end may have come in the same batch
   }
 
   void on(const Progress& e) {  // a slowed worker shows long before its jobs end
--- a/src/decide.h
+++ b/src/decide.h
@@ -78,7 +78,6 @@
 
 struct Report {  // a worker's word on its load: late and a little noisy
   std::optional<double> free_slots;
-  std::optional<double> held;  // requests in work and waiting
   std::optional<double> busy_share;
 };
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -79,7 +79,6 @@
   for (const auto name : split(values.text_or("load-info.fields", ""), ',')) {
     if (values.text_or("domain.report-" + std::string(name), "") == "free_slots") fields.free_slots = name;
     if (name == "cpu") fields.busy_share = name;
-    if (name == "active") fields.held = name;
   }
   return fields;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -11,7 +11,6 @@
 struct ReportFields {
   std::string free_slots;  // the report value that counts free slots; empty: none
   std::string busy_share;
-  std::string held;
 };
 
 // What only a dispatcher on real sockets needs.
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -957,6 +957,32 @@
   EXPECT_EQ(rig.sends(id).size(), 1u);
 }
 
+// A start note once came in the batch of a refusal and set off a trial's copy behind the final answer.
+TEST(Copies, NoTrialOfARequestThatHasItsAnswer) {
+  Rig rig(copying());
+  rig.workers(boxes(10));
+  rig.serve(rig.ask());
+  rig.pass(5 * kSecond);
+  const auto id = rig.ask();
+  rig.pass(kSecond);  // its last start passes: called off and refused, the outcome still under way
+  ASSERT_EQ(rig.count<Refuse>(id), 1);
+  rig.give(Started{id, 0});
+  EXPECT_EQ(rig.sends(id).size(), 1u);
+}
+
+// Guards against an answer held back until the client gives up: what can earn nothing any more is answered
+// when that is known.
+TEST(Copies, AJobThatWaitsPastItsLastStartIsAnsweredLongBeforeItsDeadline) {
+  Rig rig(copying());
+  rig.workers(boxes(10));
+  rig.serve(rig.ask());
+  const auto asked = rig.now;
+  const auto id = rig.ask("safe", 100 * kMs, 5 * kSecond);
+  while (rig.count<Refuse>(id) == 0 && rig.now < asked + 5 * kSecond) rig.pass(10 * kMs);
+  EXPECT_LE(rig.now, asked + 400 * kMs);  // its aim and stretch
+  EXPECT_EQ(rig.count<Cancel>(id), 1);
+}
+
 // A trial's copy once went to a worker that was listed as draining by then.
 TEST(Copies, NoTrialOnAWorkerThatDrains) {
   Rig rig(copying());
