--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -460,8 +460,9 @@
     const auto row = shelves.rows().find(r.queue.kind);
     if (!r.key || row == shelves.rows().end()) return nullptr;
     const auto& ring = row->second.workers;
-    auto spot = ring.from(key_hash(*r.key));
-    for (int looked = 0; looked < kRanked && looked < static_cast<int>(ring.size()); ++looked, ++spot) {
+    if (ring.empty()) return nullptr;
+    for (std::uint64_t n = 0; n < kRanked; ++n) {
+      auto spot = ring.from(key_hash(key_hash(*r.key) + n));
       if (spot == ring.end()) spot = ring.begin();
       Worker& w = static_cast<Worker&>(*spot->owner);
       if (w.big_lane == (r.big && split) && room(w) >= r.slots && may_take(w, r)) return &w;
