A key's place may hold one job more, and passes on a part while it holds more than most

By its weights each dispatcher sees the same excess over the mean of all and passes on the same part.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -24,6 +24,10 @@
 constexpr double kUnknownSpeed = 0.5;  // of a kind never seen to finish a job: half a core, on the safe side
 constexpr double kKnownWorkers = 4;    // workers that a dispatcher keeps to in each lane and zone ...
 constexpr double kKnownPerJob = 1.4;   // ... and so many more for each own job out
+constexpr double kFill = 1.5;
+constexpr double kKeeperRoom = -1;
+constexpr double kPartStep = 0.8;
+constexpr double kLeastPart = 0.02;
 constexpr int kRanked = 16;    // workers looked at for one job once one of them would do: more differ little
 constexpr int kLookedAt = 96;  // and before: a walk over a fleet that others fill must end
 constexpr int kSpentPart = 8;  // of the cold rule's span: the wait of a worker with a spent budget
@@ -92,7 +96,11 @@
   void see_weight(Worker& w, double weight) {
     if (!(weight > 0) || !std::isfinite(weight)) return;
     w.of->nominal = std::max(w.of->nominal, weight);
-    see_others(w, std::max(0.0, w.of->slots * (w.of->nominal / weight - 1) - w.out));
+    const double held = w.of->slots * (w.of->nominal / weight - 1);
+    see_others(w, std::max(0.0, held - w.out));
+    mean_held += (held - mean_held) / kKindMemory;
+    const double step = kFill * std::max(mean_held, w.of->slots) / std::max(held, kRoom);
+    w.part = std::clamp(w.part * std::clamp(step, kPartStep, 2 - kPartStep), kLeastPart, 1.0);
   }
 
   double speed(const Worker& w) const {  // own jobs there, leaning on its kind until there are some
@@ -465,7 +473,8 @@
       auto spot = ring.from(key_hash(key_hash(*r.key) + n));
       if (spot == ring.end()) spot = ring.begin();
       Worker& w = static_cast<Worker&>(*spot->owner);
-      if (w.big_lane == (r.big && split) && room(w) >= r.slots && may_take(w, r)) return &w;
+      if (w.part < 1 && random.uniform() >= w.part) continue;
+      if (w.big_lane == (r.big && split) && w.late_starts == 0 && room(w) >= kKeeperRoom * r.slots && may_take(w, r)) return &w;
     }
     return nullptr;
   }
--- a/src/records.h
+++ b/src/records.h
@@ -95,6 +95,7 @@
   Fading others;                     // slots in use by others beyond the usual
   double cap = 0;                    // own slots allowed since it answered full; 0: no cap
   std::optional<double> reported;    // free slots by the last report, less own sends since
+  double part = 1;                   // of the jobs whose place it is that go there: it is overfull else
   Pace pace;                         // of own finished jobs, for its speed
   Micros judged_until = 0;           // no work before
   Micros spent_until = 0;            // nor before this: its cold budget had no room for a usual job
@@ -278,6 +279,7 @@
   double mean_run = 0;
   double slots_out = 0;  // own, over all workers
   double mean_out = 0;
+  double mean_held = 0;  // by the weights of live lists
   Fading wait;  // from a send to its start
   Trial trial;
   int evidence = 0;  // that a cancel stops work
