--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -435,7 +435,8 @@
       const double free = room(*w);
       if (free < (near ? 1 : kRoom) * r.slots) continue;
       if (idle_only && others(*w) >= kRoom) continue;
-      const std::tuple by{rank(*w, free), -w->out, random.uniform()};
+      const double chance = set.weights == Weights::live ? random.uniform() : 1;
+      const std::tuple by{rank(*w, free) * chance, -w->out, random.uniform()};
       if (chosen != nullptr && by <= top) continue;
       chosen = w;
       top = by;
