Trials ask whether waiting work is dropped, and dispatchers share their verdicts

A trial lines up two copies behind a waiting place, calls them off and sends one more: if that starts as the job ends, nobody stood before it. Where messages are allowed one signed byte carries a dispatcher's verdicts; no word counts above 4. Where late answers earn something copies are not used and a trial only shows a worker's slots.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -92,6 +92,41 @@
 
 namespace {
 
+constexpr std::string_view kBase64 = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+std::string to_base64(std::string_view bytes) {  // "-" stands for no bytes
+  if (bytes.empty()) return "-";
+  std::string text;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t three = 0;
+    for (std::size_t j = i; j < i + 3; ++j)
+      three = three << 8 | (j < bytes.size() ? static_cast<unsigned char>(bytes[j]) : 0u);
+    for (std::size_t j = 0; j < 4; ++j)
+      text += j <= std::min<std::size_t>(3, bytes.size() - i) ? kBase64[three >> (18 - 6 * j) & 63] : '=';
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string from_base64(std::string_view text) {
+  if (text == "-") return {};
+  std::string bytes;
+  std::uint32_t bits = 0;
+  int have = 0;
+  for (const char c : text.substr(0, text.find('='))) {
+    const auto value = kBase64.find(c);
+    if (value == std::string_view::npos) throw Malformed("not base64: " + std::string(text));
+    bits = bits << 6 | static_cast<std::uint32_t>(value);
+    if ((have += 6) < 8) continue;
+    have -= 8;
+    bytes += static_cast<char>(bits >> have & 0xff);
+  }
+  return bytes;
+}
+
+namespace {
+
 struct Writer {
   std::string& out;
   std::string instance;
@@ -121,6 +156,9 @@
     out.append(" round-no=").append(std::to_string(a.attempt)).append("\n");
   }
   void operator()(const Probe& a) { begin("INSPECT").append(" worker=").append(a.worker).append("\n"); }
+  void operator()(const Tell& a) {
+    begin("ANNOUNCE").append(" dest=-1 body=").append(to_base64(a.bytes)).append("\n");
+  }
   void operator()(const Subscribe&) { begin("LISTEN").append(" active=1\n"); }
   void operator()(const SetTimer& a) {
     begin("DEFER").append(" at=").append(std::to_string(a.at));
--- a/adapter/host.cpp
+++ b/adapter/host.cpp
@@ -60,6 +60,8 @@
   }
   if (line.name == "ACK_FIRST")
     return give(line, StreamBegun{line.natural("job"), static_cast<int>(line.whole_or("round-no", 0))});
+  if (line.name == "NOTE_FROM")
+    return give(line, PeerTold{static_cast<int>(line.whole("neighbour")), from_base64(line.text("body"))});
   if (line.name == "CHANGE") {
     const auto id = line.natural("job");
     const auto attempt = static_cast<int>(line.whole_or("round-no", 0));
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -44,8 +44,9 @@
 constexpr double kOthersJobs = 1.5;      // mean jobs over which what is known of others' use fades
 constexpr double kShareSpan = 10e6;      // microseconds over which a tenant's traffic is weighed
 constexpr double kShareFirst = 0.7;      // of a tenant's part goes first: what a short fleet can serve
-constexpr int kStops = 4;                // evidence that a cancel stops work: chance shows it rarely ...
+constexpr int kStops = 2;                // evidence that a cancel stops work: chance shows it rarely ...
 constexpr int kRunsOn = -1;              // ... and a queue of others hides it often
+constexpr int kSay = 4;
 constexpr int kBelieved = 6;             // evidence at which it is believed
 constexpr int kGivenUp = -3;             // and at which no more trials are made
 constexpr double kTrialsFree = 20;       // copies for such trials, and beyond them ...
@@ -169,7 +170,9 @@
       count_report(w);
     }
     show(w);
-    if (!r->answered) go_on_trial(*r, e.attempt, w);  // its end may have come in the same batch
+    // A start note may come in the batch of the final answer.
+    if (!r->answered) go_on_trial(*r, e.attempt, w);
+    else if (trial.id == r->id && e.attempt == trial.waiting) end_trial(*r, kStops);
   }
 
   void on(const Progress& e) {  // a slowed worker shows long before its jobs end
@@ -475,7 +478,8 @@
       if (spot == ring.end()) spot = ring.begin();
       Worker& w = static_cast<Worker&>(*spot->owner);
       if (w.part < 1 && random.uniform() >= w.part) continue;
-      if (w.big_lane == (r.big && split) && w.late_starts == 0 && room(w) >= kKeeperRoom * r.slots && may_take(w, r)) return &w;
+      if (w.big_lane != (r.big && split) || w.late_starts > 0 || !may_take(w, r)) continue;
+      if (room(w) >= kKeeperRoom * r.slots) return &w;
     }
     return nullptr;
   }
@@ -554,8 +558,10 @@
   void answered(Request& r) {  // cancels what is still out; the entry stays until all attempts have ended
     dequeue(r);
     r.answered = true;
-    if (trial.id == r.id) trial = {};
-    call_off_all_but(r, -1);
+    const bool tells = trial.id == r.id && r.out_attempt(trial.waiting) != nullptr;
+    if (tells) alarm(now + start_delay[r.attempts[0].zone] + 2 * set.tick, Why::verdict, r.id);
+    else if (trial.id == r.id) trial = {};
+    call_off_all_but(r, tells ? trial.waiting : -1);
     erase_ended(r);
   }
 
@@ -649,10 +655,10 @@
       out->push_back(Subscribe{});
     }
     auto [r, tried] = attempt(a.id, a.attempt);
+    if (r != nullptr && a.why == Why::verdict && trial.id == r->id) return end_trial(*r, kRunsOn);
     if (r == nullptr || r->answered) return;
     if (a.why == Why::deadline) deadline(*r);
     if (a.why == Why::hopeless) hopeless(*r);
-    if (a.why == Why::verdict && trial.id == r->id) end_trial(*r, kRunsOn);
     if (tried == nullptr) return;
     if (a.why == Why::silent) silent(*r, *tried, a.attempt);
     if (a.why == Why::overdue) overdue(*r, *tried, a.attempt);
@@ -693,7 +699,7 @@
     count_late(w, 1);
     show(w);
     see_others(w, std::max(0.0, w.of->slots - w.running));
-    if (trial.id == r.id) return call_off_first(r, number);
+    if (trial.id == r.id) return line_up(r, w, number);
     see_start(w, true);
     copy(r);
   }
@@ -708,44 +714,74 @@
   // A job that waits is sent once more where room is thought to be, and the first to start is kept. Only
   // where cancelled work stops: elsewhere the copies would load the fleet.
   void copy(Request& r) {
-    if (evidence < kBelieved || r.held || !may_resend(r)) return;
+    if (proof() < kBelieved || r.held || !may_resend(r)) return;
     tie_to_group(r);
     if (Worker* w = pick(r)) send(r, *w);
   }
 
-  // Does a cancel stop work? No setting tells, so it is tried: copies of a small safe job go to one worker
-  // until one has to wait, then the first is called off. If the waiting one starts at once, it does.
+  // Does a cancel drop waiting work? No setting tells, so it is tried: copies of a small safe job go to one
+  // worker until one has to wait; that and another are called off, and one more sent. If it starts as the job
+  // ends, nobody stood before it.
   bool fit_for_trial(const Request& r, const Worker& w) {
-    if (!set.may_copy || !set.may_cancel || evidence >= kBelieved || evidence <= kGivenUp) return false;
+    if (!set.may_copy || !set.may_cancel || is_settled()) return false;
     if (r.of->effect != Effect::safe || r.attempts.size() != 1 || cold(w)) return false;
     if (trial_copies > kTrialsFree + kTrialsPart * sends) return false;
     return r.work <= mean_run && r.work > 4 * static_cast<double>(start_limit(w));
   }
 
+  bool may_line_up(const Request& r, Worker& w, std::size_t more) {
+    return r.attempts.size() + more <= static_cast<std::size_t>(set.max_attempts) && may_resend(r) &&
+           may_take(w, r);
+  }
+
   void go_on_trial(Request& r, int started, Worker& w) {
     if (trial.id == 0 && fit_for_trial(r, w)) trial.id = r.id;
     if (trial.id != r.id) return call_off_all_but(r, started);
-    if (started == trial.waiting) return end_trial(r, kStops);
-    if (trial.waiting < 0 && may_resend(r) && may_take(w, r)) {
-      ++trial_copies;
-      return send(r, w);
-    }
-    end_trial(r, 0);
+    if (trial.waiting >= 0 || !may_line_up(r, w, 1)) return end_trial(r, 0);
+    ++trial_copies;
+    send(r, w);
   }
 
-  void call_off_first(Request& r, int waiting) {
+  void line_up(Request& r, Worker& w, int waiting) {
     if (trial.waiting >= 0) return;
-    trial.waiting = waiting;
-    if (r.out_attempt(0) == nullptr) return end_trial(r, 0);
-    out->push_back(Cancel{r.id, 0});
-    alarm(now + start_delay[r.attempts[0].zone] + 2 * set.tick, Why::verdict, r.id);
+    if (r.of->late_worth > 0) return end_trial(r, kRunsOn);  // no use for it, but the slots have shown
+    if (r.out_attempt(0) == nullptr || !may_line_up(r, w, 2)) return end_trial(r, 0);
+    trial_copies += 2;
+    send(r, w);
+    for (const int dropped : {waiting, waiting + 1}) out->push_back(Cancel{r.id, dropped});
+    trial.waiting = waiting + 2;
+    send(r, w);
   }
 
   void end_trial(const Request& r, int verdict) {
-    const int kept = std::max(0, trial.waiting);
-    evidence += verdict;
+    if (verdict != 0) {
+      evidence += verdict;
+      tell();
+    }
     trial = {};
-    call_off_all_but(r, kept);
+    call_off_all_but(r, r.answered ? -1 : 0);
+  }
+
+  int proof() const { return evidence + told_sum; }
+  bool is_settled() const { return proof() >= kBelieved || proof() <= kGivenUp; }
+
+  // Guards against trials that take as long as a day where each dispatcher has few jobs: verdicts are shared
+  // where messages are allowed. No dispatcher's word counts for more than kSay.
+  void tell() {
+    if (!set.may_tell) return;
+    const int word = is_settled() ? (proof() > 0 ? kSay : -kSay) : std::clamp(evidence, -kSay, kSay);
+    out->push_back(Tell{std::string(1, static_cast<char>(word))});
+  }
+
+  void on(const PeerTold& e) {
+    if (!set.may_tell || e.peer < 0 || e.peer >= set.fleet_size || e.bytes.size() != 1) return;
+    const int word = static_cast<signed char>(e.bytes[0]);
+    if (std::abs(word) > kSay) return;
+    const bool is_news = std::exchange(told[e.peer], word) != word;
+    told_sum = 0;
+    for (const auto& [peer, said] : told) told_sum += said;
+    // One that starts anew asks by its first verdict: about three of those that know tell it.
+    if (is_news && std::abs(word) < kSay && is_settled() && random.uniform() < 3.0 / set.fleet_size) tell();
   }
 };
 
--- a/src/decide.h
+++ b/src/decide.h
@@ -64,6 +64,7 @@
   bool may_cancel = false;
   bool may_probe = false;
   bool may_copy = false;  // two attempts of one request may be out together
+  bool may_tell = false;  // dispatchers may send one another short messages
   bool may_hold_off = false;
   Micros max_hold_off = 0;
   Micros connect_timeout = 0;
@@ -147,11 +148,15 @@
   bool ok = false;
   Report report;
 };
+struct PeerTold {  // another dispatcher's message, late if it comes at all
+  int peer = 0;    // its number
+  std::string bytes;
+};
 struct TimerFired {
   std::uint64_t token = 0;
 };
 using Event = std::variant<Start, Stop, Ending, WorkerList, Arrival, Outcome, Taken, Started, Progress,
-                           StreamBegun, ClientLeft, Probed, TimerFired>;
+                           StreamBegun, ClientLeft, Probed, PeerTold, TimerFired>;
 
 struct Send {
   RequestId id = 0;
@@ -172,6 +177,9 @@
 struct Probe {
   WorkerId worker;
 };
+struct Tell {  // all other dispatchers
+  std::string bytes;
+};
 struct Subscribe {};
 struct SetTimer {
   Micros at = 0;
@@ -180,7 +188,7 @@
 struct Remark {
   std::string text;
 };
-using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Subscribe, SetTimer, Remark>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, Tell, Subscribe, SetTimer, Remark>;
 
 class Dispatcher {
  public:
--- a/src/records.h
+++ b/src/records.h
@@ -282,7 +282,9 @@
   double mean_held = 0;  // by the weights of live lists
   Fading wait;  // from a send to its start
   Trial trial;
-  int evidence = 0;  // that a cancel stops work
+  int evidence = 0;            // that a cancel drops waiting work: of own trials, and ...
+  std::map<int, int> told;     // ... as other dispatchers say
+  int told_sum = 0;
   double sends = 0;
   double trial_copies = 0;
   int failed_asks = 0;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -56,6 +56,7 @@
   s.may_cancel = values.flag_or("limits.cancelling", false);
   s.may_probe = values.flag_or("limits.probes", false);
   s.may_copy = values.flag_or("limits.second-copies", false);
+  s.may_tell = values.flag_or("limits.peers", false);
   s.may_hold_off = values.flag_or("limits.retry-after", false);
   s.max_hold_off = values.whole_or("limits.max-retry-after", 0);
   s.connect_timeout = values.whole_or("limits.dial-timeout", 0);
