Cold grants of a tenth of a budget, two a span, in place of a twentieth and three

A fifth of a budget is granted now in pieces that hold a job. Bound: with every grant used in full a window holds 15 tenths, which break the rule, with a chance below 2 in 100,000 (Poisson, mean 4).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,8 +34,9 @@
 constexpr double kZoneGap = 0.1;     // the own zone comes first until its late share is so far above others'
 constexpr double kShort = 0.75;      // share of late starts in every zone at which the fleet is short
 constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
-constexpr int kGrants = 20;          // a granted dispatcher may use 1/20 of a cold budget, and on average ...
-constexpr double kGrantsDrawn = 3;   // ... three have a grant: docs/design.md has the bound
+constexpr double kEvenParts = 20;    // dispatchers up to which each has an even part of a cold budget; of more
+constexpr double kGrants = 10;       // a granted one may use 1/10 of it: 1/20 held hardly a job; on average ...
+constexpr double kGrantsDrawn = 2;  // ... so many have a grant: docs/design.md has the bound
 constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
 constexpr int kDoublings = 4;            // ... so often
 constexpr int kMissedNotes = 2;          // times the progress notes' span in which a running job is heard of
@@ -378,7 +379,7 @@
   // draws for each worker and span whether it may use 1/20; unused ones lapse.
   double cold_part(Worker& w) {
     const double fleet = std::max(1, set.fleet_size);
-    if (fleet <= kGrants) return 1 / fleet;
+    if (fleet <= kEvenParts) return 1 / fleet;
     const Micros span = (now - w.info.started) / set.overload_span;
     if (std::exchange(w.drawn_span, span) != span) w.granted = random.uniform() < kGrantsDrawn / fleet;
     return w.granted ? 1.0 / kGrants : 0;
