--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -166,10 +166,7 @@
     const double rest = w.of->slots - w.running;
     see_others(w, a->late_start ? rest : std::min(others(w), rest));
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
-    if (w.unreachable) {
-      w.new_process(now);
-      count_report(w);
-    }
+    if (w.unreachable) w.new_process(now);
     show(w);
     // A start note may come in the batch of the final answer.
     if (!r->answered) go_on_trial(*r, e.attempt, w);
@@ -206,15 +203,11 @@
 
   void show(Worker& w) { shelves.stand(w, {usable(w), room_at(w), w.out <= 0, w.big_lane}); }
 
-  // What own jobs alone say of a worker's room: walks pass the shut ones and look at the full ones last. With
-  // nothing told, those with far more own jobs than most are full, else the first few would draw them all.
+  // What own jobs alone say of a worker's room: walks pass the shut ones and look at the full ones last.
   index::Room room_at(const Worker& w) const {
     using index::Room;
     if ((w.cap > 0 && w.out >= w.cap) || w.late_starts > 0 || now < w.spent_until) return Room::shut;
-    if (set.tells_start) return w.out < w.of->slots ? Room::open : w.waiting == 0 ? Room::full : Room::shut;
-    if (w.reported) return w.out > 0 && *w.reported < kRoom ? Room::shut : Room::open;
-    const double usual = is_blind() ? 2 * slots_out / static_cast<double>(workers.size()) : 0;
-    return w.out > usual + (is_blind() ? 1 : 0) ? Room::full : Room::open;
+    return w.out < w.of->slots ? Room::open : w.waiting == 0 ? Room::full : Room::shut;
   }
 
   // One more slot than its kind had shown: full ones of the kind are no longer.
@@ -346,19 +339,12 @@
   // Free room in slots. A job sent and not started tells of a full worker long before "full" does.
   double room(const Worker& w) const {
     if (w.cap > 0 && w.out >= w.cap) return 0;
-    if (!set.tells_start) return room_untold(w);
     if (w.late_starts > 0) return 0;
     const double free = w.of->slots - others(w) - w.out;
     const bool one_more = w.out >= w.of->slots && w.waiting == 0 && now >= w.of->next_trial;
     return one_more ? std::max(free, kRoom) : free;
   }
 
-  double room_untold(const Worker& w) const {
-    if (w.reported) return w.out > 0 ? *w.reported : std::max(*w.reported, 1.0);  // only an answer renews it
-    if (set.reports != ReportSource::answers) return 1;
-    return mean_report().value_or(1) - w.out;
-  }
-
   bool cold(const Worker& w) const { return w.info.started > 0 && now - w.info.started < set.warm_after; }
 
   // This dispatcher's part of what a cold worker may be sent in one span, in work. Judged by the warm of
@@ -409,7 +395,7 @@
   Worker* best_of(const Request& r, bool big_lane, bool idle_only, bool near) {
     const index::Home* home = home_for(r.queue, near);
     if (home == nullptr) return nullptr;
-    Worker* chosen = idle_only || is_blind() ? best_on(home->idle[big_lane], r, near, true) : nullptr;
+    Worker* chosen = idle_only ? best_on(home->idle[big_lane], r, near, true) : nullptr;
     if (idle_only || chosen != nullptr) return chosen;
     const double closed = home->closed(big_lane);
     chosen = best_on(home->open[big_lane], r, near, false, closed);
@@ -440,7 +426,7 @@
       if (free < (near ? 1 : kRoom) * r.slots) continue;
       if (idle_only && others(*w) >= kRoom) continue;
       const double chance = set.weights == Weights::live ? random.uniform() : 1;
-      const std::tuple by{rank(*w, free) * chance, -w->out, random.uniform()};
+      const std::tuple by{free * speed(*w) * chance, -w->out, random.uniform()};
       if (chosen != nullptr && by <= top) continue;
       chosen = w;
       top = by;
@@ -461,12 +447,6 @@
     }
   }
 
-  bool is_blind() const { return !set.tells_start && set.reports != ReportSource::answers; }
-
-  double rank(const Worker& w, double free) const {  // blind: fewest own jobs for the speed
-    return !set.tells_start && !w.reported ? -(w.out + 1) / speed(w) : free * speed(w);
-  }
-
   // Guards against a fetch for each job: those about one thing begin at one place of the order common to all
   // dispatchers, so that the same few workers keep what they need.
   Worker* keeper(const Request& r) {
@@ -522,7 +502,7 @@
   void send(Request& r, Worker& w) {
     dequeue(r);
     ++sends;
-    if (set.tells_start && w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
+    if (w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
     const auto number = static_cast<int>(r.attempts.size());
     Attempt& a = r.attempts.emplace_back(Attempt{&w, w.info.zone, w.info.group, now});
     if (set.tells_start) {
@@ -535,8 +515,6 @@
     if (set.tells_taken) alarm(now + set.connect_timeout, Why::silent, r.id, number);
     count_send(w, r, a.seen_start);
     mean_out += (slots_out - mean_out) / kKindMemory;
-    if (w.reported) *w.reported -= r.slots;
-    count_report(w);
     if (cold(w)) w.sent.emplace_back(now, r.work);
     show(w);
     out->push_back(Send{r.id, w.info.id, 0});
@@ -617,9 +595,7 @@
         o.result == Result::full || o.result == Result::no_connection || o.result == Result::never_sent;
     count_end(w, *r, *a);
     learn_outcome(w, *r, *a, o.result);
-    w.reported = o.report.free_slots ? o.report.free_slots : w.reported;
     see_slots(w, std::round(o.report.free_slots.value_or(0)));
-    count_report(w);
     show(w);
     if (o.finished && !r->answered) answered(*r);
     else if (r->answered) erase_ended(*r);
--- a/src/records.h
+++ b/src/records.h
@@ -86,7 +86,6 @@
   std::size_t big_lane_at = 0;       // then its place among these
   std::uint64_t lane_round = 0;      // the last setting of lanes that put it there
   std::uint64_t listed = 0;          // the last list that named it
-  std::int64_t counted_report = -1;  // what the sum of reports has of it; -1: nothing
   double out = 0;                    // own slots sent there,
   double running = 0;                // and of these seen to start
   double waiting = 0;                // own slots not seen to start
@@ -94,7 +93,6 @@
   int late_starts = 0;               // own attempts that should have started by now
   Fading others;                     // slots in use by others beyond the usual
   double cap = 0;                    // own slots allowed since it answered full; 0: no cap
-  std::optional<double> reported;    // free slots by the last report, less own sends since
   double part = 1;                   // of the jobs whose place it is that go there: it is overfull else
   Pace pace;                         // of own finished jobs, for its speed
   Micros judged_until = 0;           // no work before
@@ -116,7 +114,6 @@
     info.started = at;
     pace = {};
     others = {};
-    reported.reset();
     cap = 0;
     judged_until = 0;
     spent_until = 0;
@@ -239,8 +236,6 @@
   int attempt = 0;
 };
 
-constexpr double kReportUnit = 1.0 / (1 << 20);  // slots: far below what reports are off by
-
 struct Memory {
   Settings set;
   Random random;
@@ -256,8 +251,6 @@
   std::multimap<Micros, WorkerId> resting;  // judged ones, by when that ends
   std::vector<Worker*> spent;               // seen on the walk that is on: rest for a while too
   std::set<WorkerId> leaving;               // gone, to be forgotten with their last attempt
-  std::int64_t reports_sum = 0;             // of the listed workers that have told, in kReportUnit
-  int reports_told = 0;
   int late_workers = 0;  // with own attempts that should have started by now
   std::map<std::pair<std::string, double>, Kind> kinds;
   std::map<std::string, const ClassSettings*> classes;
@@ -325,17 +318,6 @@
     one.recent.see(now, one.recent.left(now, span) + 1);
     tenants_recent.see(now, tenants_recent.left(now, span) + 1);
   }
-  std::optional<double> mean_report() const {  // free slots at the listed workers that have told
-    if (reports_told == 0) return std::nullopt;
-    return static_cast<double>(reports_sum) * kReportUnit / reports_told;
-  }
-  // Whole numbers, so that the sum does not depend on the order in which it came about.
-  void count_report(Worker& w) {
-    const bool counts = w.reported && w.info.phase == Phase::serving;
-    if (w.counted_report >= 0) reports_sum -= w.counted_report, --reports_told;
-    w.counted_report = counts ? std::llround(std::max(0.0, *w.reported) / kReportUnit) : -1;
-    if (counts) reports_sum += w.counted_report, ++reports_told;
-  }
   void erase_ended(Request& r) {
     if (r.answered && !r.any_out()) requests.erase(r.id);
   }
@@ -359,7 +341,6 @@
     if (moved) place(w);
     if (info.started > last_start) w.new_process(info.started);
     if (info.phase == Phase::gone) leaving.insert(info.id);
-    count_report(w);
     return w;
   }
   void place(Worker& w) {
@@ -380,7 +361,7 @@
   void mark_absent() {
     for (auto& [id, w] : workers)
       if (w.listed != lists && std::exchange(w.info.phase, Phase::gone) != Phase::gone)
-        leaving.insert(id), count_report(w);
+        leaving.insert(id);
   }
   void forget_gone() {
     std::erase_if(leaving, [this](const WorkerId& id) {
@@ -393,8 +374,6 @@
     });
   }
   void forget(Worker& w) {
-    w.reported.reset();
-    count_report(w);
     shelves.forget(w);
     if (w.big_lane) bigs[w.big_lane_at] = nullptr;
   }
