Bookkeeping of lanes, filled workers and others' words is kept in the records

The decisions (which workers, how many, when) stay in the module; the lists of who moved are memory.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -47,7 +47,8 @@
 constexpr double kShareFirst = 0.7;      // of a tenant's part goes first: what a short fleet can serve
 constexpr int kStops = 2;                // evidence that a cancel stops work: chance shows it rarely ...
 constexpr int kRunsOn = -1;              // ... and a queue of others hides it often
-constexpr int kSay = 4;
+constexpr int kSay = 4;                  // the most that one dispatcher's word adds to it
+constexpr double kTellers = 3;           // that tell a newcomer what they know, on average
 constexpr int kBelieved = 6;             // evidence at which it is believed
 constexpr int kGivenUp = -3;             // and at which no more trials are made
 constexpr double kTrialsFree = 20;       // copies for such trials, and beyond them ...
@@ -215,11 +216,7 @@
     if (slots <= w.of->slots) return;
     w.of->slots = slots;
     w.of->next_trial = now;  // what has just shown one may have more
-    std::vector<Worker*> filled;
-    for (const bool big : {false, true})
-      for (const auto& spot : shelves.find("", "")->full[big])
-        filled.push_back(static_cast<Worker*>(spot.owner));
-    for (Worker* other : filled) show(*other);
+    for (Worker* other : filled()) show(*other);
   }
 
   void end_rests() {
@@ -231,8 +228,7 @@
   // The big lane: for each kind that a class needs the first workers in hash order, up to the big jobs'
   // share of the size. A lane must outlive its only worker, so judged ones are passed over.
   void set_lanes() {
-    const auto before = std::exchange(bigs, {});
-    ++lane_rounds;
+    std::vector<Worker*> chosen;
     for (const auto& [kind, row] : shelves.rows()) {
       std::int64_t taken = 0;
       const double wanted = big_share * static_cast<double>(row.size);
@@ -240,22 +236,12 @@
       for (const auto& spot : row.workers) {
         if (n + 1 == row.workers.size() || (n > 0 && static_cast<double>(taken) >= wanted)) break;
         ++n;
-        auto& w = static_cast<Worker&>(*spot.owner);
-        if (std::exchange(w.lane_round, lane_rounds) != lane_rounds) bigs.push_back(&w);
-        taken += w.size;
+        chosen.push_back(static_cast<Worker*>(spot.owner));
+        taken += chosen.back()->size;
       }
     }
-    split = !bigs.empty();  // a lone worker serves both lanes
-    for (Worker* w : before)
-      if (w != nullptr && w->lane_round != lane_rounds) set_lane(*w, false);
-    for (std::size_t i = 0; i < bigs.size(); ++i) {
-      bigs[i]->big_lane_at = i;
-      set_lane(*bigs[i], true);
-    }
-  }
-
-  void set_lane(Worker& w, bool big) {
-    if (std::exchange(w.big_lane, big) != big) show(w);
+    split = !chosen.empty();  // a lone worker serves both lanes
+    for (Worker* w : put_in_big_lane(chosen)) show(*w);
   }
 
   // Guards against one tenant crowding out the rest: this instance sees a part of each tenant's traffic only,
@@ -338,8 +324,7 @@
   // ---- pick ----
   // Free room in slots. A job sent and not started tells of a full worker long before "full" does.
   double room(const Worker& w) const {
-    if (w.cap > 0 && w.out >= w.cap) return 0;
-    if (w.late_starts > 0) return 0;
+    if ((w.cap > 0 && w.out >= w.cap) || w.late_starts > 0) return 0;
     const double free = w.of->slots - others(w) - w.out;
     const bool one_more = w.out >= w.of->slots && w.waiting == 0 && now >= w.of->next_trial;
     return one_more ? std::max(free, kRoom) : free;
@@ -395,10 +380,9 @@
   Worker* best_of(const Request& r, bool big_lane, bool idle_only, bool near) {
     const index::Home* home = home_for(r.queue, near);
     if (home == nullptr) return nullptr;
-    Worker* chosen = idle_only ? best_on(home->idle[big_lane], r, near, true) : nullptr;
-    if (idle_only || chosen != nullptr) return chosen;
+    if (idle_only) return best_on(home->idle[big_lane], r, near, true);
     const double closed = home->closed(big_lane);
-    chosen = best_on(home->open[big_lane], r, near, false, closed);
+    Worker* chosen = best_on(home->open[big_lane], r, near, false, closed);
     return chosen != nullptr ? chosen : best_on(home->full[big_lane], r, near, false, closed);
   }
 
@@ -731,21 +715,17 @@
   }
 
   void end_trial(const Request& r, int verdict) {
-    if (verdict != 0) {
-      evidence += verdict;
-      tell();
-    }
+    evidence += verdict;
+    if (verdict != 0 && set.may_tell) tell();
     trial = {};
     call_off_all_but(r, r.answered ? -1 : 0);
   }
 
-  int proof() const { return evidence + told_sum; }
   bool is_settled() const { return proof() >= kBelieved || proof() <= kGivenUp; }
 
   // Guards against trials that take as long as a day where each dispatcher has few jobs: verdicts are shared
   // where messages are allowed. No dispatcher's word counts for more than kSay.
   void tell() {
-    if (!set.may_tell) return;
     const int word = is_settled() ? (proof() > 0 ? kSay : -kSay) : std::clamp(evidence, -kSay, kSay);
     out->push_back(Tell{std::string(1, static_cast<char>(word))});
   }
@@ -754,11 +734,9 @@
     if (!set.may_tell || e.peer < 0 || e.peer >= set.fleet_size || e.bytes.size() != 1) return;
     const int word = static_cast<signed char>(e.bytes[0]);
     if (std::abs(word) > kSay) return;
-    const bool is_news = std::exchange(told[e.peer], word) != word;
-    told_sum = 0;
-    for (const auto& [peer, said] : told) told_sum += said;
+    hear(e.peer, word);
     // One that starts anew asks by its first verdict: about three of those that know tell it.
-    if (is_news && std::abs(word) < kSay && is_settled() && random.uniform() < 3.0 / set.fleet_size) tell();
+    if (std::abs(word) < kSay && is_settled() && random.uniform() < kTellers / set.fleet_size) tell();
   }
 };
 
--- a/src/records.h
+++ b/src/records.h
@@ -246,7 +246,7 @@
   std::unordered_map<WorkerId, Worker> workers;  // before the shelves: outlive them
   index::Shelves shelves;     // the same workers, to be found; in this dispatcher's own order, by its seed
   std::vector<Worker*> bigs;  // those of the big lane, with gaps where one was forgotten
-  std::uint64_t lane_rounds = 0;
+  std::uint64_t lane_rounds = 0;  // settings of the lanes so far
   std::uint64_t lists = 0;                  // learnt so far
   std::multimap<Micros, WorkerId> resting;  // judged ones, by when that ends
   std::vector<Worker*> spent;               // seen on the walk that is on: rest for a while too
@@ -373,6 +373,35 @@
       return true;
     });
   }
+  // Returns those whose lane is another now.
+  std::vector<Worker*> put_in_big_lane(const std::vector<Worker*>& chosen) {
+    std::vector<Worker*> moved;
+    const auto put = [&moved](Worker* w, bool big) {
+      if (std::exchange(w->big_lane, big) != big) moved.push_back(w);
+    };
+    const auto before = std::exchange(bigs, {});
+    ++lane_rounds;
+    for (Worker* w : chosen)
+      if (std::exchange(w->lane_round, lane_rounds) != lane_rounds) bigs.push_back(w);
+    for (Worker* w : before)
+      if (w != nullptr && w->lane_round != lane_rounds) put(w, false);
+    for (std::size_t i = 0; i < bigs.size(); ++i) {
+      bigs[i]->big_lane_at = i;
+      put(bigs[i], true);
+    }
+    return moved;
+  }
+  std::vector<Worker*> filled() const {  // by own jobs, as far as the slots of their kinds have shown
+    std::vector<Worker*> found;
+    for (const bool big : {false, true})
+      for (const auto& spot : shelves.find("", "")->full[big])
+        found.push_back(static_cast<Worker*>(spot.owner));
+    return found;
+  }
+  int proof() const { return evidence + told_sum; }
+  void hear(int peer, int word) {
+    told_sum += word - std::exchange(told[peer], word);
+  }
   void forget(Worker& w) {
     shelves.forget(w);
     if (w.big_lane) bigs[w.big_lane_at] = nullptr;
