Settings may change in a running module; rests of spent cold workers are out

The event Change takes other settings in: requests keep the class they came with, forbidden second copies end at once, what was learnt stays.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -24,19 +24,18 @@
 constexpr double kUnknownSpeed = 0.5;  // of a kind never seen to finish a job: half a core, on the safe side
 constexpr double kKnownWorkers = 4;    // workers that a dispatcher keeps to in each lane and zone ...
 constexpr double kKnownPerJob = 1.4;   // ... and so many more for each own job out
-constexpr double kFill = 1.5;
-constexpr double kKeeperRoom = -1;
-constexpr double kPartStep = 0.8;
-constexpr double kLeastPart = 0.02;
+constexpr double kFill = 1.5;          // times the mean load at which a key's place passes on a part ...
+constexpr double kPartStep = 0.8;      // ... that changes at most so fast with each list ...
+constexpr double kLeastPart = 0.02;    // ... and never to all
+constexpr double kKeeperRoom = -1;     // slots: one job may wait at a key's place, a fetch takes longer
 constexpr int kRanked = 16;    // workers looked at for one job once one of them would do: more differ little
 constexpr int kLookedAt = 96;  // and before: a walk over a fleet that others fill must end
-constexpr int kSpentPart = 8;  // of the cold rule's span: the wait of a worker with a spent budget
 constexpr double kZoneGap = 0.1;     // the own zone comes first until its late share is so far above others'
 constexpr double kShort = 0.75;      // share of late starts in every zone at which the fleet is short
 constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
-constexpr double kEvenParts = 20;    // dispatchers up to which each has an even part of a cold budget; of more
-constexpr double kGrants = 10;       // a granted one may use 1/10 of it: 1/20 held hardly a job; on average ...
-constexpr double kGrantsDrawn = 2;  // ... so many have a grant: docs/design.md has the bound
+constexpr double kEvenParts = 20;    // dispatchers that have even parts of a cold budget; of more ...
+constexpr double kGrants = 10;       // ... a granted one may use 1/10 of it, and on average ...
+constexpr double kGrantsDrawn = 2;   // ... two have a grant: docs/design.md has the bound
 constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
 constexpr int kDoublings = 4;            // ... so often
 constexpr int kMissedNotes = 2;          // times the progress notes' span in which a running job is heard of
@@ -48,7 +47,6 @@
 constexpr int kStops = 2;                // evidence that a cancel stops work: chance shows it rarely ...
 constexpr int kRunsOn = -1;              // ... and a queue of others hides it often
 constexpr int kSay = 4;                  // the most that one dispatcher's word adds to it
-constexpr double kTellers = 3;           // that tell a newcomer what they know, on average
 constexpr int kBelieved = 6;             // evidence at which it is believed
 constexpr int kGivenUp = -3;             // and at which no more trials are made
 constexpr double kTrialsFree = 20;       // copies for such trials, and beyond them ...
@@ -60,15 +58,22 @@
 struct Dispatcher::State : Memory {
   // ---- learn ----
   void on(const Start& e) {
-    set = e.settings;
-    random = Random(set.seed);
+    random = Random(e.settings.seed);
     born = now;
-    for (const auto& c : set.classes) classes[c.name] = &c;
-    for (const auto& t : set.tenants) tenants_quota += tenants[t.name].quota = t.quota_per_s;
-    std::vector<std::string> kinds_needed;
-    for (const auto& c : set.classes) kinds_needed.push_back(c.worker_kind);
-    shelves.begin(kinds_needed);
-    if (set.list_mode == ListMode::asked) ask_later(set.tick);
+    on(Change{e.settings});
+  }
+
+  // What is open goes on under the class that it was taken with; what is forbidden from now on ends now.
+  void on(const Change& e) {
+    trial = {};
+    if (!e.settings.may_copy)
+      for (const auto id : open_ids()) call_off_all_but(requests.at(id), requests.at(id).first_out());
+    const auto mode = set.list_mode;
+    take(e.settings);
+    for (auto& [id, w] : workers) show(w);
+    set_lanes();
+    stuck = false;
+    if (set.list_mode == ListMode::asked && mode != ListMode::asked) ask_later(set.tick);
   }
 
   void ask_later(Micros wanted) {
@@ -204,10 +209,10 @@
 
   void show(Worker& w) { shelves.stand(w, {usable(w), room_at(w), w.out <= 0, w.big_lane}); }
 
-  // What own jobs alone say of a worker's room: walks pass the shut ones and look at the full ones last.
+  // By own jobs alone: walks pass the shut ones and look at the full ones last.
   index::Room room_at(const Worker& w) const {
     using index::Room;
-    if ((w.cap > 0 && w.out >= w.cap) || w.late_starts > 0 || now < w.spent_until) return Room::shut;
+    if ((w.cap > 0 && w.out >= w.cap) || w.late_starts > 0) return Room::shut;
     return w.out < w.of->slots ? Room::open : w.waiting == 0 ? Room::full : Room::shut;
   }
 
@@ -244,8 +249,7 @@
     for (Worker* w : put_in_big_lane(chosen)) show(*w);
   }
 
-  // Guards against one tenant crowding out the rest: this instance sees a part of each tenant's traffic only,
-  // so a tenant's own part is what the others send of their quotas. Of what goes beyond, chance picks.
+  // Guards against one tenant crowding out the rest: its part is what the others send of their quotas.
   bool beyond_share(const std::string& name) {
     const auto found = tenants.find(name);
     if (found == tenants.end() || found->second.quota <= 0 || set.over_share_worth >= 1) return false;
@@ -311,9 +315,8 @@
     if (!is_late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
   }
 
-  // Here, or at a worker: there late work takes the place of work in time. Guards against hundreds of
-  // dispatchers that keep all queues full of late jobs; what a late answer still earns is given up only while
-  // the fleet is short, so that nearly all starts are late.
+  // Here, or at a worker. Guards against hundreds of dispatchers that keep all queues full of late jobs; what
+  // a late answer still earns is given up only while nearly all starts are late.
   bool others_wait(const Request& r) const {
     if (queues.contains(r.queue)) return true;
     const bool is_short =
@@ -386,10 +389,8 @@
     return chosen != nullptr ? chosen : best_on(home->full[big_lane], r, near, false, closed);
   }
 
-  // Most free room (for the speed), then fewest own jobs, then at random, among the first few workers in the
-  // own order. Guards against knowledge older than jobs are long: among hundreds of workers each is met too
-  // seldom, and all dispatchers would rank the same ones first. Those that own jobs have closed count as
-  // seen.
+  // Most free room (for the speed), then fewest own jobs, then at random, among the first in the own order.
+  // Guards against knowledge older than jobs are long: all dispatchers would rank the same workers first.
   Worker* best_on(const index::Shelf& shelf, const Request& r, bool near, bool idle_only, double closed = 0) {
     const double known = kKnownWorkers + kKnownPerJob * mean_out;
     Worker* chosen = nullptr;
@@ -398,12 +399,9 @@
     int looked = 0;
     for (const auto& spot : shelf) {
       auto* w = static_cast<Worker*>(spot.owner);
+      if (!within_cold_budget(*w, r.work)) continue;
       if (looked++ >= (chosen != nullptr ? kRanked : kLookedAt)) break;
       if ((near && !w->near) || !fits(*w, r)) continue;
-      if (!within_cold_budget(*w, r.work)) {
-        if (r.work <= mean_run) spent.push_back(w);
-        continue;
-      }
       if (chosen != nullptr && seen >= known) break;
       ++seen;
       const double free = room(*w);
@@ -415,22 +413,9 @@
       chosen = w;
       top = by;
     }
-    if (spent.size() > kRanked) rest_spent();
-    spent.clear();
     return chosen;
   }
 
-  // Guards against cold workers whose budgets are spent, thousands after a release, in front of warm ones on
-  // every walk: where not even a usual job fits they are passed for a part of the span.
-  void rest_spent() {
-    const Micros until = now + set.overload_span / kSpentPart;
-    for (Worker* w : std::exchange(spent, {})) {
-      w->spent_until = until;
-      resting.emplace(until, w->info.id);
-      show(*w);
-    }
-  }
-
   // Guards against a fetch for each job: those about one thing begin at one place of the order common to all
   // dispatchers, so that the same few workers keep what they need.
   Worker* keeper(const Request& r) {
@@ -601,10 +586,8 @@
   void on(const Ending& e) {
     ends = e.at;
     if (now < ends) return;
-    std::set<RequestId> open;
-    for (const auto& [id, r] : requests)
-      if (!r.answered) open.insert(id);
-    for (const auto id : open) give_up(requests.at(id));
+    for (const auto id : open_ids())
+      if (!requests.at(id).answered) give_up(requests.at(id));
   }
 
   // ---- time-out ----
@@ -680,9 +663,8 @@
     if (Worker* w = pick(r)) send(r, *w);
   }
 
-  // Does a cancel drop waiting work? No setting tells, so it is tried: copies of a small safe job go to one
-  // worker until one has to wait; that and another are called off, and one more sent. If it starts as the job
-  // ends, nobody stood before it.
+  // Does a cancel drop waiting work? Copies of a small safe job go to one worker until one waits; that and
+  // another are called off, and one more sent. If it starts as the job ends, nobody stood before it.
   bool fit_for_trial(const Request& r, const Worker& w) {
     if (!set.may_copy || !set.may_cancel || is_settled()) return false;
     if (r.of->effect != Effect::safe || r.attempts.size() != 1 || cold(w)) return false;
@@ -716,27 +698,20 @@
 
   void end_trial(const Request& r, int verdict) {
     evidence += verdict;
-    if (verdict != 0 && set.may_tell) tell();
+    // Guards against trials that take a day where each dispatcher has few jobs: verdicts are shared.
+    const auto word = static_cast<char>(std::clamp(evidence, -kSay, kSay));
+    if (verdict != 0 && set.may_tell) out->push_back(Tell{std::string(1, word)});
     trial = {};
     call_off_all_but(r, r.answered ? -1 : 0);
   }
 
   bool is_settled() const { return proof() >= kBelieved || proof() <= kGivenUp; }
 
-  // Guards against trials that take as long as a day where each dispatcher has few jobs: verdicts are shared
-  // where messages are allowed. No dispatcher's word counts for more than kSay.
-  void tell() {
-    const int word = is_settled() ? (proof() > 0 ? kSay : -kSay) : std::clamp(evidence, -kSay, kSay);
-    out->push_back(Tell{std::string(1, static_cast<char>(word))});
-  }
-
   void on(const PeerTold& e) {
     if (!set.may_tell || e.peer < 0 || e.peer >= set.fleet_size || e.bytes.size() != 1) return;
     const int word = static_cast<signed char>(e.bytes[0]);
     if (std::abs(word) > kSay) return;
     hear(e.peer, word);
-    // One that starts anew asks by its first verdict: about three of those that know tell it.
-    if (std::abs(word) < kSay && is_settled() && random.uniform() < kTellers / set.fleet_size) tell();
   }
 };
 
--- a/src/decide.h
+++ b/src/decide.h
@@ -95,6 +95,9 @@
 struct Start {
   Settings settings;
 };
+struct Change {  // other settings for a dispatcher that runs; its seed stays. A whole list follows.
+  Settings settings;
+};
 struct Stop {};  // killed: everything is forgotten
 struct Ending {  // to be killed: what is open then must be answered at that time
   Micros at = 0;
@@ -155,7 +158,7 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<Start, Stop, Ending, WorkerList, Arrival, Outcome, Taken, Started, Progress,
+using Event = std::variant<Start, Change, Stop, Ending, WorkerList, Arrival, Outcome, Taken, Started, Progress,
                            StreamBegun, ClientLeft, Probed, PeerTold, TimerFired>;
 
 struct Send {
--- a/src/records.h
+++ b/src/records.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -96,7 +97,6 @@
   double part = 1;                   // of the jobs whose place it is that go there: it is overfull else
   Pace pace;                         // of own finished jobs, for its speed
   Micros judged_until = 0;           // no work before
-  Micros spent_until = 0;            // nor before this: its cold budget had no room for a usual job
   bool suspect = false;              // has broken off or fallen silent since its last answer
   int strikes = 0;                   // judgements not yet made good by an answer
   bool unreachable = false;          // refused a connection or broke one since its last sign of life
@@ -116,7 +116,6 @@
     others = {};
     cap = 0;
     judged_until = 0;
-    spent_until = 0;
     strikes = 0;
     suspect = false;
     unreachable = false;
@@ -167,7 +166,7 @@
 
 struct Request {
   RequestId id = 0;
-  const ClassSettings* of = nullptr;
+  std::shared_ptr<const ClassSettings> of;  // as it was when this came
   Micros due = 0;
   Micros deadline = 0;
   double work = 0;
@@ -190,6 +189,13 @@
   bool any_running() const {
     return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out && a.seen_start; });
   }
+  int first_out() const {  // the first that runs, else the first; -1: none is out
+    const auto runs = [](auto& a) { return a.out && a.seen_start; };
+    auto found = std::find_if(attempts.begin(), attempts.end(), runs);
+    if (found == attempts.end())
+      found = std::find_if(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
+    return found == attempts.end() ? -1 : static_cast<int>(found - attempts.begin());
+  }
   const Attempt* may_have_run() const {  // the earliest such attempt
     const auto found = std::find_if(attempts.begin(), attempts.end(), [](auto& a) { return !a.never_ran; });
     return found == attempts.end() ? nullptr : &*found;
@@ -249,11 +255,10 @@
   std::uint64_t lane_rounds = 0;  // settings of the lanes so far
   std::uint64_t lists = 0;                  // learnt so far
   std::multimap<Micros, WorkerId> resting;  // judged ones, by when that ends
-  std::vector<Worker*> spent;               // seen on the walk that is on: rest for a while too
   std::set<WorkerId> leaving;               // gone, to be forgotten with their last attempt
   int late_workers = 0;  // with own attempts that should have started by now
   std::map<std::pair<std::string, double>, Kind> kinds;
-  std::map<std::string, const ClassSettings*> classes;
+  std::map<std::string, std::shared_ptr<const ClassSettings>> classes;
   std::unordered_map<RequestId, Request> requests;
   std::map<QueueKey, std::map<QueuePlace, RequestId>> queues;
   std::deque<Alarm> alarms;  // by token, from the oldest that has not fired: nothing here is ever moved
@@ -287,10 +292,31 @@
   bool split = false;
   bool stuck = false;  // no room when last tried
 
-  const ClassSettings* class_named(const std::string& name) const {
-    static const ClassSettings unknown;
+  std::shared_ptr<const ClassSettings> class_named(const std::string& name) const {
+    static const auto unknown = std::make_shared<const ClassSettings>();
     const auto found = classes.find(name);
-    return found == classes.end() ? &unknown : found->second;
+    return found == classes.end() ? unknown : found->second;
+  }
+  // Settings in place of those before, if any: workers and requests stay, and what was learnt of them.
+  void take(const Settings& settings) {
+    set = settings;
+    classes.clear();
+    for (const auto& c : set.classes) classes[c.name] = std::make_shared<const ClassSettings>(c);
+    longest_ttl.clear();
+    tenants_quota = 0;
+    for (auto& [name, tenant] : tenants) tenant.quota = 0;
+    for (const auto& t : set.tenants) tenants_quota += tenants[t.name].quota = t.quota_per_s;
+    std::set<std::string> needed;
+    for (const auto& c : set.classes) needed.insert(c.worker_kind);
+    for (const auto& [id, r] : requests) needed.insert(r.of->worker_kind);
+    for (auto& [id, w] : workers) shelves.forget(w);
+    shelves.begin({needed.begin(), needed.end()});
+    for (auto& [id, w] : workers) place(w);
+  }
+  std::set<RequestId> open_ids() const {  // in order, whatever the hash table's
+    std::set<RequestId> ids;
+    for (const auto& [id, r] : requests) ids.insert(id);
+    return ids;
   }
   Request* find(RequestId id) {
     const auto found = requests.find(id);
