New settings are taken by a running dispatcher, in both directions

SIGHUP took only discovery; settings waited for a start, so the platform's move would have cost one for each dispatcher. They now reach the module as one event, open requests keep their class, the list is handed over again as weights may mean something else, and a file with a fault changes nothing: new range checks name the setting. Affinity-Key reaches the module as a number; there is no channel between dispatchers, so limits.peers is read as false here.

--- a/src/decide.h
+++ b/src/decide.h
@@ -15,12 +15,12 @@
 using RequestId = std::uint64_t;
 using WorkerId = std::string;
 
-enum class Effect { safe, keyed, unsafe };                  // may a request be repeated?
-enum class Scope { all, zone, group };                      // which workers drop a keyed repeat
-enum class ReportSource { none, answers, probes };          // how load reports reach the dispatcher
-enum class Weights { none, nominal, rough, live };          // what the list's weights are; live: see WorkerInfo
-enum class ListMode { pushed, asked };                      // how the list of workers reaches it
-enum class Phase { serving, draining, gone };               // a worker's state in the list
+enum class Effect { safe, keyed, unsafe };          // may a request be repeated?
+enum class Scope { all, zone, group };              // which workers drop a keyed repeat
+enum class ReportSource { none, answers, probes };  // how load reports reach the dispatcher
+enum class Weights { none, nominal, rough, live };  // what the list's weights are; live: see WorkerInfo
+enum class ListMode { pushed, asked };              // how the list of workers reaches it
+enum class Phase { serving, draining, gone };       // a worker's state in the list
 enum class ListKind { changes, full, remembered, failed };  // what a list event holds
 enum class Result { ok, error, rejected, full, timed_out, no_connection, broken, cancelled, never_sent };
 
@@ -114,8 +114,8 @@
   std::optional<Micros> hint;  // expected work, on a standard core
   double slots = 1;
   std::optional<std::uint64_t> key;  // what the job is about: workers keep what such jobs need for a while
-  bool repeated = false;  // the client says that it has asked before
-  bool crowded = false;   // the dispatcher has no descriptor to hold it with
+  bool repeated = false;             // the client says that it has asked before
+  bool crowded = false;              // the dispatcher has no descriptor to hold it with
 };
 struct Outcome {
   RequestId id = 0;
@@ -158,8 +158,8 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<Start, Change, Stop, Ending, WorkerList, Arrival, Outcome, Taken, Started, Progress,
-                           StreamBegun, ClientLeft, Probed, PeerTold, TimerFired>;
+using Event = std::variant<Start, Change, Stop, Ending, WorkerList, Arrival, Outcome, Taken, Started,
+                           Progress, StreamBegun, ClientLeft, Probed, PeerTold, TimerFired>;
 
 struct Send {
   RequestId id = 0;
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -15,9 +15,9 @@
 constexpr double kMostSlots = 1e6;
 
 // Each of these has one meaning only: of two that differ we and the worker could read different ones.
-constexpr std::array<std::string_view, 8> kOnce = {"Request-Id",         "Request-Class",   "Tenant",
+constexpr std::array<std::string_view, 9> kOnce = {"Request-Id",         "Request-Class",   "Tenant",
                                                    "Request-Timeout-Ms", "Idempotency-Key", "Work-Hint",
-                                                   "Request-Info",       "Client-Retry"};
+                                                   "Request-Info",       "Client-Retry",    "Affinity-Key"};
 
 bool visible(std::string_view text) {  // printable ASCII, no blanks: safe in a head that we write
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
@@ -53,10 +53,20 @@
   return fallback;
 }
 
+// The same number at every dispatcher (FNV-1a): they have to agree on who keeps what the key's jobs need.
+std::optional<std::uint64_t> key_of(std::string_view text) {
+  if (text.empty()) return std::nullopt;
+  std::uint64_t number = 0xcbf29ce484222325ULL;
+  for (const unsigned char c : text) number = (number ^ c) * 0x100000001b3ULL;
+  return number;
+}
+
 bool names_are_good(const HttpReader& message) {
   const auto repeated = [&](auto name) { return message.repeats(name); };
   if (std::any_of(kOnce.begin(), kOnce.end(), repeated)) return false;
   const auto key = message.header("Idempotency-Key");
+  const auto about = message.header("Affinity-Key");
+  if (!about.empty() && !is_name(about)) return false;
   return is_name(message.header("Request-Id")) && (key.empty() || is_name(key)) && visible(message.target());
 }
 
@@ -73,6 +83,7 @@
   job.request_id = message.header("Request-Id");
   job.idempotency_key = message.header("Idempotency-Key");
   job.class_name = message.header("Request-Class");
+  job.key = key_of(message.header("Affinity-Key"));
   job.tenant = message.header("Tenant");
   job.body = message.body();
   job.held = message.held();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -90,6 +90,29 @@
   if (network.longest_deadline <= 0) throw Malformed("settings.grades names no hard-limit");
   if (settings.connect_timeout <= 0) throw Malformed("missing settings.limits.dial-timeout");
   if (settings.tick <= 0) throw Malformed("missing settings.tick");
+  const auto within = [](double value, double least, double most, const std::string& name) {
+    if (!(value >= least && value <= most)) throw Malformed("settings." + name + " is out of range");
+  };
+  constexpr double kMost = 1e15;  // microseconds or units: beyond is a slip, and sums of them stay whole
+  within(settings.fleet_size, 1, 1e6, "fleet-size");
+  within(settings.max_attempts, 1, 1e6, "limits.max-attempts");
+  within(settings.cold_from, 0, 1, "obligations.cold-from");
+  within(settings.over_share_worth, 0, 1, "over-share-worth");
+  within(static_cast<double>(settings.warm_after), 0, kMost, "obligations.warm-after");
+  within(settings.overload_factor, 0, kMost, "obligations.overload-factor");
+  within(static_cast<double>(settings.overload_span), 0, kMost, "obligations.overload-for");
+  within(static_cast<double>(settings.drain_grace), 0, kMost, "obligations.drain-grace");
+  for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+    const auto& c = settings.classes[i];
+    const std::string at = "grades." + std::to_string(i) + ".";
+    within(static_cast<double>(c.deadline), 1, kMost, at + "hard-limit");
+    within(static_cast<double>(c.aim), 0, kMost, at + "target");
+    within(static_cast<double>(c.memory), 0, kMost, at + "memory-span");
+    within(c.late_worth, 0, 1, at + "late-worth");
+    within(c.stretch, 0, 1e6, at + "aim-stretch");
+  }
+  for (std::size_t i = 0; i < settings.tenants.size(); ++i)
+    within(settings.tenants[i].quota_per_s, 0, kMost, "accounts." + std::to_string(i) + ".quota-per-s");
 }
 
 int own_descriptor_limit() {  // the smaller one of what the configuration says and the system grants
@@ -123,6 +146,7 @@
     throw Malformed(std::string("in settings: ") + fault.what());
   }
   check_settings(config.settings, config.network);
+  config.settings.may_tell = false;  // no channel between dispatchers here, whatever the platform allows
   config.settings.seed = read_seed(tree);
   if (const Json* known = tree.find("known"); known != nullptr && known->kind != Json::Kind::null) {
     auto members = read_members(*known);
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -49,6 +49,7 @@
 Engine::Engine(Strand strand, const Config& config, int most_worker_connections, BufferSpace& space)
     : strand_(strand),
       config_(config),
+      most_worker_connections_(most_worker_connections),
       workers_(strand, clock_, space, *this),
       discovery_(strand, clock_, config.discovery, *this),
       timer_(strand),
@@ -59,9 +60,7 @@
 
 void Engine::start() {
   reported_ = now();
-  Settings settings = config_.settings;
-  settings.tells_taken = true;  // a worker answers 200 when it has taken a job, before it starts
-  give(Start{std::move(settings)});
+  give(Start{module_settings()});
   learn_members(config_.known);
   do give(WorkerList{ListKind::remembered, roster_.next(kListSlice)});
   while (roster_.waits());
@@ -69,6 +68,23 @@
   sweep();
 }
 
+Settings Engine::module_settings() const {
+  Settings settings = config_.settings;
+  settings.tells_taken = true;  // a worker answers 200 when it has taken a job, before it starts
+  return settings;
+}
+
+// What is out goes on. The weights of the list may mean something else now, so the module hears all of it
+// again.
+void Engine::change_settings() {
+  if (stopped_) return;
+  workers_.configure(config_.settings.connect_timeout, config_.network.idle_limit, most_worker_connections_);
+  give(Change{module_settings()});
+  roster_.tell_all();
+  hand_on();
+  if (config_.settings.list_mode == ListMode::pushed) watch();
+}
+
 // ---- events to the module ----
 
 Micros Engine::now() {
@@ -128,6 +144,7 @@
   arrival.tenant = job.tenant;
   arrival.time_left = job.time_left;
   arrival.hint = job.hint;
+  arrival.key = job.key;
   arrival.slots = job.slots;
   arrival.repeated = job.repeated;
   arrival.crowded = crowded;
@@ -318,6 +335,9 @@
   workers_.probe(action.worker);
 }
 
+// There is no channel between dispatchers: the configuration never allows the module to send there.
+void Engine::carry_out(const Tell&) {}
+
 void Engine::carry_out(const Subscribe&) {
   watch();
 }
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -21,6 +21,7 @@
   std::string_view class_name, tenant;
   Micros time_left = 0;
   std::optional<Micros> hint;
+  std::optional<std::uint64_t> key;  // of what it is about, as a number
   double slots = 1;
   bool repeated = false;
   std::shared_ptr<const void> held;
@@ -52,6 +53,8 @@
   void stop();             // closes everything
   // The list is had elsewhere from now on. What is known stays in force until the new address has answered.
   void move_discovery(const Address& address);
+  // The configuration holds other settings from now on: the module goes on with them, open requests included.
+  void change_settings();
 
   bool holds_list() const { return !roster_.empty(); }
   const ClassSettings* class_named(std::string_view name) const;  // null: unknown
@@ -100,6 +103,7 @@
   void carry_out(const Fail& action);
   void carry_out(const Cancel& action);
   void carry_out(const Probe& action);
+  void carry_out(const Tell& action);
   void carry_out(const Subscribe& action);
   void carry_out(const SetTimer& action);
   void carry_out(const Remark& action);
@@ -107,6 +111,7 @@
   void end_attempt(AttemptKey key, Result result);
   void final_answer(RequestId id, Answer answer);
   void forget_if_over(RequestId id);
+  Settings module_settings() const;
   void learn_members(const Members& news);
   void hand_on();
   void watch();
@@ -120,6 +125,7 @@
   Strand strand_;
   Clock clock_;
   const Config& config_;
+  int most_worker_connections_;
   Dispatcher dispatcher_;
   WorkerPool workers_;
   Discovery discovery_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -64,8 +64,9 @@
   boost::asio::post(strand_, [this] { read_again(); });
 }
 
-// A file that can't be used changes nothing: the configuration in force stays.
+// A file that can't be used changes nothing: the configuration in force stays. Whoever ends takes no other.
 void Service::read_again() {
+  if (told_to_end_ != 0) return spdlog::warn("new configuration not taken: told to end");
   const auto read = load_config(source_);
   if (const auto* fault = std::get_if<ConfigFault>(&read))
     return spdlog::error("new configuration not taken: {}", fault->message);
@@ -81,10 +82,23 @@
     config_.discovery = fresh.discovery;
     engine_.move_discovery(fresh.discovery);
   }
+  take_settings(fresh);
   const bool rest_stays = fresh.listen == config_.listen && fresh.name == config_.name &&
                           fresh.sockets == config_.sockets && fresh.memory_mb == config_.memory_mb &&
-                          fresh.settings == config_.settings && fresh.network == config_.network;
-  if (!rest_stays) spdlog::warn("name, listen, limits or settings differ: they are taken at the next start");
+                          fresh.settings.seed == config_.settings.seed;
+  if (!rest_stays) spdlog::warn("name, seed, listen or limits differ: they are taken at the next start");
+}
+
+// Name, seed, listen and limits are the process's own; everything under settings can change while it serves.
+void Service::take_settings(const Config& fresh) {
+  Settings settings = fresh.settings;
+  settings.seed = config_.settings.seed;
+  if (settings == config_.settings && fresh.network == config_.network) return;
+  config_.settings = std::move(settings);
+  config_.network = fresh.network;
+  engine_.change_settings();
+  spdlog::info("settings taken: {} classes, {} tenants, {} requests open", config_.settings.classes.size(),
+               config_.settings.tenants.size(), engine_.unanswered());
 }
 
 void Service::run() {
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -21,6 +21,7 @@
   void await_reload();
   void read_again();
   void take_over(const Config& fresh);
+  void take_settings(const Config& fresh);
   void begin_ending();
   void go_on_ending();
   Micros patience() const;  // from the signal to the last answers
--- a/src/records.h
+++ b/src/records.h
@@ -84,24 +84,24 @@
   Fading* zone_late = nullptr;  // its zone's share of late starts
   bool near = false;            // in the dispatcher's own zone
   bool big_lane = false;
-  std::size_t big_lane_at = 0;       // then its place among these
-  std::uint64_t lane_round = 0;      // the last setting of lanes that put it there
-  std::uint64_t listed = 0;          // the last list that named it
-  double out = 0;                    // own slots sent there,
-  double running = 0;                // and of these seen to start
-  double waiting = 0;                // own slots not seen to start
-  int attempts = 0;                  // own attempts out there
-  int late_starts = 0;               // own attempts that should have started by now
-  Fading others;                     // slots in use by others beyond the usual
-  double cap = 0;                    // own slots allowed since it answered full; 0: no cap
-  double part = 1;                   // of the jobs whose place it is that go there: it is overfull else
-  Pace pace;                         // of own finished jobs, for its speed
-  Micros judged_until = 0;           // no work before
-  bool suspect = false;              // has broken off or fallen silent since its last answer
-  int strikes = 0;                   // judgements not yet made good by an answer
-  bool unreachable = false;          // refused a connection or broke one since its last sign of life
-  Micros drawn_span = -1;            // the span, counted from its start, for which a grant was drawn
-  bool granted = false;              // while it is cold
+  std::size_t big_lane_at = 0;   // then its place among these
+  std::uint64_t lane_round = 0;  // the last setting of lanes that put it there
+  std::uint64_t listed = 0;      // the last list that named it
+  double out = 0;                // own slots sent there,
+  double running = 0;            // and of these seen to start
+  double waiting = 0;            // own slots not seen to start
+  int attempts = 0;              // own attempts out there
+  int late_starts = 0;           // own attempts that should have started by now
+  Fading others;                 // slots in use by others beyond the usual
+  double cap = 0;                // own slots allowed since it answered full; 0: no cap
+  double part = 1;               // of the jobs whose place it is that go there: it is overfull else
+  Pace pace;                     // of own finished jobs, for its speed
+  Micros judged_until = 0;       // no work before
+  bool suspect = false;          // has broken off or fallen silent since its last answer
+  int strikes = 0;               // judgements not yet made good by an answer
+  bool unreachable = false;      // refused a connection or broke one since its last sign of life
+  Micros drawn_span = -1;        // the span, counted from its start, for which a grant was drawn
+  bool granted = false;          // while it is cold
   std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
 
   double sent_since(Micros at) {
@@ -252,11 +252,11 @@
   std::unordered_map<WorkerId, Worker> workers;  // before the shelves: outlive them
   index::Shelves shelves;     // the same workers, to be found; in this dispatcher's own order, by its seed
   std::vector<Worker*> bigs;  // those of the big lane, with gaps where one was forgotten
-  std::uint64_t lane_rounds = 0;  // settings of the lanes so far
+  std::uint64_t lane_rounds = 0;            // settings of the lanes so far
   std::uint64_t lists = 0;                  // learnt so far
   std::multimap<Micros, WorkerId> resting;  // judged ones, by when that ends
   std::set<WorkerId> leaving;               // gone, to be forgotten with their last attempt
-  int late_workers = 0;  // with own attempts that should have started by now
+  int late_workers = 0;                     // with own attempts that should have started by now
   std::map<std::pair<std::string, double>, Kind> kinds;
   std::map<std::string, std::shared_ptr<const ClassSettings>> classes;
   std::unordered_map<RequestId, Request> requests;
@@ -278,10 +278,10 @@
   double slots_out = 0;  // own, over all workers
   double mean_out = 0;
   double mean_held = 0;  // by the weights of live lists
-  Fading wait;  // from a send to its start
+  Fading wait;           // from a send to its start
   Trial trial;
-  int evidence = 0;            // that a cancel drops waiting work: of own trials, and ...
-  std::map<int, int> told;     // ... as other dispatchers say
+  int evidence = 0;         // that a cancel drops waiting work: of own trials, and ...
+  std::map<int, int> told;  // ... as other dispatchers say
   int told_sum = 0;
   double sends = 0;
   double trial_copies = 0;
@@ -386,8 +386,7 @@
   // Whoever is absent from a whole list is gone.
   void mark_absent() {
     for (auto& [id, w] : workers)
-      if (w.listed != lists && std::exchange(w.info.phase, Phase::gone) != Phase::gone)
-        leaving.insert(id);
+      if (w.listed != lists && std::exchange(w.info.phase, Phase::gone) != Phase::gone) leaving.insert(id);
   }
   void forget_gone() {
     std::erase_if(leaving, [this](const WorkerId& id) {
@@ -425,9 +424,7 @@
     return found;
   }
   int proof() const { return evidence + told_sum; }
-  void hear(int peer, int word) {
-    told_sum += word - std::exchange(told[peer], word);
-  }
+  void hear(int peer, int word) { told_sum += word - std::exchange(told[peer], word); }
   void forget(Worker& w) {
     shelves.forget(w);
     if (w.big_lane) bigs[w.big_lane_at] = nullptr;
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -56,6 +56,10 @@
   else if (!was_waiting) calm_.push_back(id);
 }
 
+void Roster::tell_all() {
+  for (auto& [id, held] : held_) note(id, held);
+}
+
 std::vector<WorkerInfo> Roster::next(std::size_t most) {
   std::vector<WorkerInfo> slice;
   while (slice.size() < most && waits()) {
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -48,6 +48,7 @@
 
   // The next of what the module has not heard, at most so many; empty: it has heard all.
   std::vector<WorkerInfo> next(std::size_t most);
+  void tell_all();  // the module has to hear of each again
   bool waits() const { return !urgent_.empty() || !calm_.empty(); }
 
   std::size_t size() const { return present_; }  // workers that are listed, draining ones too
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -569,6 +569,147 @@
   EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
 }
 
+// ---- other settings while it serves ----
+
+class Switch : public Reload {
+ protected:
+  // The shape of a deployment: more classes, what the list's weights mean, what may be done.
+  void write_settings(const std::string& grades, const std::string& more, const std::string& limits) {
+    write(R"({"name":"n0","listen":"127.0.0.1:9","seed":"7","discovery":"127.0.0.1:)" +
+          std::to_string(discovery_.port()) + R"(","settings":{"tick":2000,"az":"a","grades":[)" + grades +
+          "]," + more +
+          R"("domain":{"tells-start":true},"limits":{"dial-timeout":5000000,"max-attempts":3,)" + limits +
+          R"("cancelling":true}}})");
+  }
+  static std::string grade(const std::string& name, const std::string& effect) {
+    return R"({"name":")" + name + R"(","effect":")" + effect +
+           R"(","key-scope":"zone","memory-span":3000000,"target":9000000,"hard-limit":20000000})";
+  }
+  void first_shape() {
+    write_settings(
+        grade("safe", "repeatable") + "," + grade("keyed", "by_key") + "," + grade("unsafe", "once"),
+        R"("membership-mode":"push",)", R"("retry-after":true,"max-retry-after":1250000,)");
+  }
+  void shape_with_live_weights() {
+    write_settings(grade("quick", "repeatable") + "," + grade("safe", "repeatable"),
+                   R"("membership-mode":"push","weight-source":"live",)", "");
+  }
+  void shape_with_messages() {
+    write_settings(grade("keyed", "by_key") + "," + grade("sheet", "repeatable"),
+                   R"("membership-mode":"push","weight-source":"rough",)",
+                   R"("peers":true,"second-copies":true,)");
+  }
+  // Taken when it is back: what was asked before is answered in order behind it.
+  void reload_and_wait(const std::string& known_class, bool knows) {
+    service_->reload();
+    Peer peer = client();
+    const std::string start = knows ? "HTTP/1.1 200 " : "HTTP/1.1 400 ";
+    peer.write(job("probe-" + known_class + std::to_string(++probes_), known_class));
+    if (knows) {
+      Peer w = worker_.accept();
+      serve_one(w);
+    }
+    EXPECT_TRUE(peer.read_message().starts_with(start)) << known_class;
+  }
+  int probes_ = 0;
+};
+
+TEST_F(Switch, GoesToAnotherShapeAndOnAndBackWithJobsOutAtEachStep) {
+  start();
+  struct Out {
+    Peer client, worker;
+    std::string id;
+  };
+  std::vector<Out> outs;
+  const auto send_out = [&](const std::string& of_class) {
+    const std::string id = std::to_string(100 + outs.size());
+    Out out{client(), Peer(), id};
+    out.client.write(job(id, of_class));
+    out.worker = worker_.accept();
+    const std::string message = out.worker.read_message();
+    EXPECT_EQ(number_after(message, "Request-Id: "), id);
+    out.worker.write(taken() + chunk(line(id, "started")));
+    outs.push_back(std::move(out));
+  };
+  send_out("unsafe");  // its class is gone in the shapes that follow
+  shape_with_live_weights();
+  reload_and_wait("unsafe", false);
+  send_out("quick");
+  shape_with_messages();
+  reload_and_wait("quick", false);
+  send_out("keyed");
+  first_shape();
+  reload_and_wait("sheet", false);
+  send_out("safe");
+  for (auto& out : outs) {  // each ends with the one attempt that it was given
+    out.worker.write(chunk(done(out.id, "r" + out.id)) + "0\r\n\r\n");
+    const std::string answer = out.client.read_message();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("r" + out.id));
+  }
+  EXPECT_FALSE(worker_.has_caller());
+}
+
+TEST_F(Switch, AnUnsafeJobWhoseClassIsGoneIsNotSentAgain) {
+  start();
+  Peer peer = client();
+  peer.write(job("5", "unsafe"));
+  Peer w = worker_.accept();
+  w.read_message();
+  w.write(taken() + chunk(line("5", "started")));
+  shape_with_live_weights();
+  reload_and_wait("unsafe", false);
+  w.close();  // it may have run
+  EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 500 "));
+  EXPECT_FALSE(worker_.has_caller());
+}
+
+TEST_F(Switch, AFaultInTheSettingsChangesNothing) {
+  start();
+  const std::string safe = grade("safe", "repeatable");
+  Peer w;
+  for (const std::string more :
+       {R"("weight-source":"heavy",)", R"("fleet-size":0,)", R"("over-share-worth":7,)",
+        R"("accounts":[{"name":"t","quota-per-s":"many"}],)"}) {
+    write_settings(safe, more, "");
+    service_->reload();
+    Peer peer = client();
+    peer.write(job("9", "unsafe"));  // the file does not know it
+    if (!w.open()) w = worker_.accept();
+    serve_one(w);
+    EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 200 ")) << more;
+  }
+}
+
+TEST_F(Switch, TwiceAtOnceAndWithTheEndBehindIt) {
+  start();
+  Peer peer = client();
+  peer.write(job("5"));
+  Peer w = worker_.accept();
+  w.read_message();
+  w.write(taken() + chunk(line("5", "started")));
+  shape_with_live_weights();
+  service_->reload();
+  service_->reload();
+  service_->end();
+  service_->reload();
+  w.write(chunk(done("5", "r")) + "0\r\n\r\n");
+  EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 200 "));
+  await_end();
+}
+
+TEST_F(Switch, WhileDiscoveryIsDarkTheListAndItsDrainsStay) {
+  config_.known.entries.clear();
+  start();
+  Peer watch = told_to_drain();
+  discovery_.close();
+  watch.close();
+  shape_with_live_weights();
+  service_->reload();
+  EXPECT_TRUE(ask(job("2", "quick", 300)).starts_with("HTTP/1.1 503 "));
+  EXPECT_FALSE(worker_.has_caller());
+}
+
 TEST_F(ServiceTest, AnUnreadableEntryDoesNotEmptyTheList) {
   start();
   Peer watch = discovery_.accept();
