--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -99,8 +99,7 @@
     set_lanes();
   }
 
-  // Weights that move with load tell what each worker holds, the same to all dispatchers and late; its slots
-  // stand for its cores.
+  // Weights that move with load tell what each worker holds, late; its slots stand for its cores.
   void see_weight(Worker& w, double weight) {
     if (!(weight > 0) || !std::isfinite(weight)) return;
     w.of->nominal = std::max(w.of->nominal, weight);
@@ -116,9 +115,8 @@
     return (w.pace.work + lean * w.of->pace.speed(kUnknownSpeed)) / (w.pace.time + lean);
   }
 
-  // What was done since the last news of it; hints are noisy, so sums that fade are compared. A repeat may go
-  // on from saved work, and would pass for speed; a job without a hint, taken for an average one, would pass
-  // for a slow worker where jobs are unlike.
+  // What was done since the last news; hints are noisy, so sums that fade are compared. Not of repeats, which
+  // may go on from saved work, nor of jobs without a hint, which are taken for average ones.
   void learn_pace(Worker& w, const Request& r, Attempt& a, double done) {
     if (r.hinted && a.seen_start && r.attempts.size() == 1 && done > a.done) {
       const double work = r.work * (done - a.done);
@@ -143,8 +141,7 @@
 
   void see_start(const Worker& w, bool is_late) { w.zone_late->blend(now, is_late ? 1 : 0, kJobMemory); }
 
-  // Guards against a zone with more traffic than its workers can carry: it comes first only while jobs there
-  // start about as promptly as elsewhere.
+  // Guards against a zone with more traffic than its workers can carry: first only while starts are prompt.
   bool own_zone_first() const {
     const auto own = late.find(set.zone);
     const auto prompter = [&](auto& l) { return own->second.value > l.second.value + kZoneGap; };
@@ -350,7 +347,7 @@
   }
 
   // Guards against cold workers left empty: 1/400 of a budget holds no job. In a large fleet each dispatcher
-  // draws for each worker and span whether it may use 1/20; unused ones lapse.
+  // draws for each worker and span whether it may use 1/10; unused ones lapse.
   double cold_part(Worker& w) {
     const double fleet = std::max(1, set.fleet_size);
     if (fleet <= kEvenParts) return 1 / fleet;
@@ -471,6 +468,7 @@
   void send(Request& r, Worker& w) {
     dequeue(r);
     ++sends;
+    if (trial.id == r.id) ++trial_copies;
     if (w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
     const auto number = static_cast<int>(r.attempts.size());
     Attempt& a = r.attempts.emplace_back(Attempt{&w, w.info.zone, w.info.group, now});
@@ -624,8 +622,7 @@
     hold(r);
   }
 
-  // Guards against a connection that has fallen silent: taken is told at once, a run each so often. What
-  // waits there would wait until its client gives up, and the worker would pass for full or busy as long.
+  // Guards against a connection that has fallen silent: taken is told at once, a run each so often.
   void silent(const Request& r, const Attempt& a, int number) {
     if (!set.may_cancel || (a.seen_start && set.progress_every <= 0)) return;
     const Micros queued = a.taken ? now + set.connect_timeout : now;
@@ -655,8 +652,7 @@
     if (set.may_cancel && r.of->late_worth <= 0 && !r.any_running() && may_refuse(r)) give_up(r);
   }
 
-  // A job that waits is sent once more where room is thought to be, and the first to start is kept. Only
-  // where cancelled work stops: elsewhere the copies would load the fleet.
+  // A job that waits is sent once more where waiting work is dropped, and the first to start is kept.
   void copy(Request& r) {
     if (proof() < kBelieved || r.held || !may_resend(r)) return;
     tie_to_group(r);
@@ -681,7 +677,6 @@
     if (trial.id == 0 && fit_for_trial(r, w)) trial.id = r.id;
     if (trial.id != r.id) return call_off_all_but(r, started);
     if (trial.waiting >= 0 || !may_line_up(r, w, 1)) return end_trial(r, 0);
-    ++trial_copies;
     send(r, w);
   }
 
@@ -689,7 +684,6 @@
     if (trial.waiting >= 0) return;
     if (r.of->late_worth > 0) return end_trial(r, kRunsOn);  // no use for it, but the slots have shown
     if (r.out_attempt(0) == nullptr || !may_line_up(r, w, 2)) return end_trial(r, 0);
-    trial_copies += 2;
     send(r, w);
     for (const int dropped : {waiting, waiting + 1}) out->push_back(Cancel{r.id, dropped});
     trial.waiting = waiting + 2;
