--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -60,8 +60,6 @@
     const auto name = pair.substr(0, at);
     if (!fields.free_slots.empty() && name == fields.free_slots)
       report.free_slots = parse_real(name, pair.substr(at + 1));
-    if (!fields.busy_share.empty() && name == fields.busy_share)
-      report.busy_share = parse_real(name, pair.substr(at + 1));
   }
   return report;
 }
--- a/src/decide.h
+++ b/src/decide.h
@@ -79,7 +79,6 @@
 
 struct Report {  // a worker's word on its load: late and a little noisy
   std::optional<double> free_slots;
-  std::optional<double> busy_share;
 };
 
 struct WorkerInfo {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -77,10 +77,8 @@
 // The report value with the given meaning: "x0" or "x1" by what the settings say of them.
 ReportFields read_report_fields(const Fields& values) {
   ReportFields fields;
-  for (const auto name : split(values.text_or("load-info.fields", ""), ',')) {
+  for (const auto name : split(values.text_or("load-info.fields", ""), ','))
     if (values.text_or("domain.report-" + std::string(name), "") == "free_slots") fields.free_slots = name;
-    if (name == "cpu") fields.busy_share = name;
-  }
   return fields;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -10,7 +10,6 @@
 // Where a load report's figures stand among the settings' own names.
 struct ReportFields {
   std::string free_slots;  // the report value that counts free slots; empty: none
-  std::string busy_share;
 };
 
 // What only a dispatcher on real sockets needs.
