--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -93,7 +93,7 @@
   s.over_share_worth = values.number_or("over-share-worth", 1);
   s.list_mode = choose<ListMode>("list mode", values.text_or("membership-mode", "push"),
                                  {{"push", ListMode::pushed}, {"ask", ListMode::asked}});
-  s.weights = choose<Weights>("weight source", values.text_or("weight-source", "nominal"),
+  s.weights = choose<Weights>("weight-source", values.text_or("weight-source", "nominal"),
                               {{"none", Weights::none},
                                {"nominal", Weights::nominal},
                                {"rough", Weights::rough},
