--- a/lab/virtual.cpp
+++ b/lab/virtual.cpp
@@ -350,7 +350,7 @@
   void act(const Fail& f) { final_answer(f.id, 'f', 0); }
   void act(const Cancel& c) { end_attempt(c.id, c.attempt, Result::cancelled, true); }
   void act(const Probe&) {}  // the module asks for none
-  void act(const Tell&) {}  // the lab allows no messages between dispatchers
+  void act(const Tell&) {}   // the lab allows no messages between dispatchers
   void act(const Subscribe&) { post(ToFleet::What::ask_list, now_ + world_.lookahead()); }
   void act(const SetTimer& t) { set(std::max(t.at, now_), What::timer, 0, t.token); }
   void act(const Remark&) {}
