One hash over bytes for worker ids and affinity keys

Read again: Affinity-Key was turned into a number by a second FNV-1a beside the one for worker ids; both call fnv1a in src/text now, each from its own start as before. The codec's comment on actions stands over write_action again.

--- a/adapter/codec.h
+++ b/adapter/codec.h
@@ -31,8 +31,8 @@
 Arrival read_arrival(const Line& line);
 Outcome read_outcome(const Line& line, const ReportFields& fields);
 
-// Appends the action's line, or nothing for an action that the wire has no word for.
 std::string from_base64(std::string_view text);  // "-" stands for no bytes
+// Appends the action's line, or nothing for an action that the wire has no word for.
 void write_action(std::int64_t instance, const Action& action, std::string& out);
 
 }  // namespace woadridge::wire
--- a/src/net/admission.cpp
+++ b/src/net/admission.cpp
@@ -53,12 +53,9 @@
   return fallback;
 }
 
-// The same number at every dispatcher (FNV-1a): they have to agree on who keeps what the key's jobs need.
+// The same number at every dispatcher: they have to agree on who keeps what the key's jobs need.
 std::optional<std::uint64_t> key_of(std::string_view text) {
-  if (text.empty()) return std::nullopt;
-  std::uint64_t number = 0xcbf29ce484222325ULL;
-  for (const unsigned char c : text) number = (number ^ c) * 0x100000001b3ULL;
-  return number;
+  return text.empty() ? std::nullopt : std::optional(fnv1a(text));
 }
 
 bool names_are_good(const HttpReader& message) {
--- a/src/records.h
+++ b/src/records.h
@@ -14,6 +14,7 @@
 
 #include "decide.h"
 #include "index/shelves.h"
+#include "text.h"
 
 namespace woadridge {
 
@@ -34,8 +35,7 @@
 };
 
 inline std::uint64_t id_hash(const WorkerId& id, std::uint64_t salt) {  // FNV-1a, then mixed
-  std::uint64_t h = 1469598103934665603ULL ^ (salt * 0x9e3779b97f4a7c15ULL);
-  for (unsigned char c : id) h = (h ^ c) * 1099511628211ULL;
+  std::uint64_t h = fnv1a(id, 1469598103934665603ULL ^ (salt * 0x9e3779b97f4a7c15ULL));
   h ^= h >> 33;
   return (h * 0xff51afd7ed558ccdULL) ^ (h >> 29);
 }
--- a/src/text.h
+++ b/src/text.h
@@ -32,6 +32,12 @@
 bool parse_flag(std::string_view key, std::string_view value);
 std::vector<std::string_view> split(std::string_view text, char mark);
 
+// FNV-1a over the bytes, from a start of the caller's: the same number in every process.
+constexpr std::uint64_t fnv1a(std::string_view text, std::uint64_t from = 0xcbf29ce484222325ULL) {
+  for (const char c : text) from = (from ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return from;
+}
+
 template <typename Value>
 Value choose(std::string_view what, std::string_view word,
              std::initializer_list<std::pair<std::string_view, Value>> options) {
