Operators drain a running dispatcher: POST /standby and /active

Health says no at once, answers close their connections, idle ones close from 0.4 s on, nothing new is taken in hand after 1.5 s.

--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -27,6 +27,8 @@
 
 constexpr Route kStatus{"GET", "/status"};
 constexpr Route kFigures{"GET", "/status/metrics"};
+constexpr Route kStandby{"POST", "/standby"};
+constexpr Route kActive{"POST", "/active"};
 
 }  // namespace
 
@@ -95,6 +97,8 @@
   const auto tell = [&](const Reply& reply) { answer(reply.yes ? 200 : 503, {}, reply.text); };
   if (path == kStatus.path) return with(kStatus, [&] { tell(admin_.operations_.status()); });
   if (path == kFigures.path) return with(kFigures, [&] { tell({true, admin_.operations_.figures()}); });
+  if (path == kStandby.path) return with(kStandby, [&] { tell(admin_.operations_.standby()); });
+  if (path == kActive.path) return with(kActive, [&] { tell(admin_.operations_.active()); });
   answer(404, {}, "no such call\n");
 }
 
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -23,6 +23,8 @@
   virtual ~Operations() = default;
   virtual Reply status() = 0;
   virtual std::string figures() = 0;
+  virtual Reply standby() = 0;
+  virtual Reply active() = 0;
 };
 
 class Admin;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -181,7 +181,7 @@
 void ClientConnection::answer(int status, std::string_view more, std::string_view body) {
   enter(Stage::writing);
   // Whom an ending dispatcher refuses must not come back to it.
-  if (intake_.closing_ || (intake_.ending_ && status == 503)) close_after_ = true;
+  if (intake_.closing_ || intake_.standby_ || (intake_.ending_ && status == 503)) close_after_ = true;
   out_.clear();
   write_answer_head(out_, status, more, body.size(), !close_after_);
   out_.append(body);
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -19,7 +19,13 @@
   // An empty text, or why the address can't be listened on.
   std::string listen(const Address& address);
   std::uint16_t port() const { return listener_.port(); }
-  void begin_ending() { ending_ = true; }      // health turns 503
+  void begin_ending() { ending_ = true; }  // health turns 503
+  // The same, and answers close their connections, for as long as it lasts.
+  void stand_by(bool yes) {
+    standby_ = yes;
+    refusing_ = false;
+  }
+  void refuse_new() { refusing_ = true; }      // what is read from now on is told to come elsewhere
   void close_all_after() { closing_ = true; }  // answers close their connections
   void stop_listening();
   void close_idle(Micros at_least);  // those that have been idle for so long and have sent nothing
@@ -31,11 +37,11 @@
 
   void accepted(Socket socket);
   bool make_room();
-  bool crowded() const { return engine_.unanswered() >= most_ - turnstile_; }
+  bool crowded() const { return refusing_ || engine_.unanswered() >= most_ - turnstile_; }
   std::shared_ptr<ClientConnection> least_needed() const;
   void closed(ClientConnection& connection);
   void sweep();
-  bool healthy() const { return listener_.is_open() && !ending_ && engine_.holds_list(); }
+  bool healthy() const { return listener_.is_open() && !ending_ && !standby_ && engine_.holds_list(); }
 
   Strand strand_;
   Engine& engine_;
@@ -47,6 +53,8 @@
   std::size_t turnstile_;  // of these, for newcomers that are refused
   bool ending_ = false;
   bool closing_ = false;
+  bool standby_ = false;
+  bool refusing_ = false;
   bool stopped_ = false;
   std::list<std::shared_ptr<ClientConnection>> connections_;
 };
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -22,6 +22,12 @@
 constexpr Micros kLastRuns = 800'000;
 constexpr Micros kLastAnswers = 200'000;   // for the clients to take them
 constexpr Micros kFirstRequest = 100'000;  // for a new connection to bring its request
+// DAYS.md: the front asks ten times a second and stops new connections 0.2 s after a no; 0.1 s for the way.
+// After that who is idle is not about to be used for the first time.
+constexpr Micros kFrontNotices = 400'000;
+// A job that was taken in the last 2 s of the 4 that a drain has is one too late; half a second for the way.
+constexpr Micros kLastTaken = 1'500'000;
+constexpr auto kStandbyStep = std::chrono::milliseconds(50);
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -36,7 +42,8 @@
       admin_(strand_, engine_.clock(), *this),
       signals_(io_, SIGTERM, SIGINT),
       reload_signal_(io_, SIGHUP),
-      timer_(strand_) {}
+      timer_(strand_),
+      standby_timer_(strand_) {}
 
 Budget Service::budget() const {
   return Budget(config_.sockets, config_.ops ? Admin::kDescriptors : 0);
@@ -70,6 +77,37 @@
   return {true, "serving\n"};
 }
 
+Reply Service::standby() {
+  if (standby_since_ == 0 && told_to_end_ == 0) {
+    spdlog::info("standby: {} requests to be answered", engine_.unanswered());
+    standby_since_ = engine_.clock().now();
+    intake_.stand_by(true);
+    go_on_standing_by();
+  }
+  return {true, "standing by: takes no clients, answers what it has\n"};
+}
+
+Reply Service::active() {
+  if (told_to_end_ != 0) return {false, "ending\n"};
+  if (std::exchange(standby_since_, 0) != 0) {
+    spdlog::info("active: takes clients again");
+    standby_timer_.cancel();
+    intake_.stand_by(false);
+  }
+  return {true, "active\n"};
+}
+
+void Service::go_on_standing_by() {
+  if (standby_since_ == 0 || told_to_end_ != 0) return;
+  const Micros gone = engine_.clock().now() - standby_since_;
+  if (gone >= kFrontNotices) intake_.close_idle(kFirstRequest);
+  if (gone >= kLastTaken) intake_.refuse_new();
+  standby_timer_.expires_after(kStandbyStep);
+  standby_timer_.async_wait([this](Fault fault) {
+    if (!fault) go_on_standing_by();
+  });
+}
+
 // ---- a new configuration ----
 
 void Service::await_reload() {
@@ -165,6 +203,7 @@
 void Service::finish() {
   spdlog::info("ended with {} requests not answered", engine_.unanswered());
   timer_.cancel();
+  standby_timer_.cancel();
   signals_.cancel();
   reload_signal_.cancel();
   intake_.stop();
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -22,6 +22,9 @@
  private:
   Reply status() override;
   std::string figures() override { return engine_.figures(); }
+  Reply standby() override;
+  Reply active() override;
+  void go_on_standing_by();
 
   Budget budget() const;
   std::string open_admin();
@@ -45,6 +48,8 @@
   boost::asio::signal_set signals_;
   boost::asio::signal_set reload_signal_;
   Timer timer_;
+  Timer standby_timer_;
+  Micros standby_since_ = 0;  // 0: takes clients
   Micros told_to_end_ = 0;
 };
 
