Upgrades beside the running process, and workers that staff take out

An inherited listener, locks that tell of another process, halves of the limits while two are there; bans as events to the module and in a file that outlives the process; a request keeps the most attempts that it came with.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -110,6 +110,15 @@
     w.part = std::clamp(w.part * std::clamp(step, kPartStep, 2 - kPartStep), kLeastPart, 1.0);
   }
 
+  // Nothing new there until staff put it back. Meanwhile it was restarted, whatever the late list says: cold.
+  void on(const Maintain& e) {
+    Worker* w = set_banned(e.worker, e.out);
+    if (w == nullptr) return;
+    if (!e.out) w->new_process(now);
+    show(*w);
+    set_lanes();
+  }
+
   double speed(const Worker& w) const {  // own jobs there, leaning on its kind until there are some
     const double lean = std::max(1.0, mean_run);
     return (w.pace.work + lean * w.of->pace.speed(kUnknownSpeed)) / (w.pace.time + lean);
@@ -199,12 +208,13 @@
     else if (now - big_full_at > kFirstTrial) factor = std::max(kThresholdFloor, factor * kThresholdFall);
   }
 
-  bool usable(const Worker& w) const { return w.info.phase == Phase::serving && now >= w.judged_until; }
+  bool usable(const Worker& w) const { return w.is_offered() && now >= w.judged_until; }
 
-  // Listed, and nothing goes there: by judgement, until a trial is due. Who drains is left out by the list.
+  // Listed, and nothing goes there: by hand or by judgement. Who drains is left out by the list.
   std::size_t avoided(Micros at) const {
     std::size_t all = 0;
-    for (const auto& [id, w] : workers) all += w.info.phase == Phase::serving && at < w.judged_until ? 1 : 0;
+    for (const auto& [id, w] : workers)
+      all += w.info.phase == Phase::serving && (w.banned || at < w.judged_until);
     return all;
   }
 
@@ -261,6 +271,7 @@
     r.deadline = now + a.time_left;
     r.slots = std::max(a.slots, 1.0);
     r.of = class_named(a.class_name);
+    r.most_attempts = set.max_attempts;
     r.arrival = ++arrivals;
     r.key = a.key;
     r.hinted = a.hint.has_value();
@@ -481,7 +492,7 @@
   // ---- outcome ----
   // Rule 2: who may be sent again. Keyed repeats only while the group still remembers the earliest.
   bool may_resend(const Request& r) const {
-    if (static_cast<int>(r.attempts.size()) >= set.max_attempts) return false;
+    if (static_cast<int>(r.attempts.size()) >= r.most_attempts) return false;
     const Attempt* first = r.may_have_run();
     if (first == nullptr || r.of->effect == Effect::safe) return true;
     return r.of->effect == Effect::keyed && now <= first->sent + r.of->memory - set.tick;
@@ -659,7 +670,7 @@
   }
 
   bool may_line_up(const Request& r, Worker& w, std::size_t more) {
-    return r.attempts.size() + more <= static_cast<std::size_t>(set.max_attempts) && may_resend(r) &&
+    return r.attempts.size() + more <= static_cast<std::size_t>(r.most_attempts) && may_resend(r) &&
            may_take(w, r);
   }
 
--- a/src/decide.h
+++ b/src/decide.h
@@ -100,6 +100,11 @@
 struct Ending {  // to be killed: what is open then must be answered at that time
   Micros at = 0;
 };
+struct Maintain {  // staff take a worker out, or put it back as one that has just started, whatever the list
+                   // says
+  WorkerId worker;
+  bool out = false;
+};
 struct WorkerList {
   ListKind kind = ListKind::full;
   std::vector<WorkerInfo> workers;
@@ -152,8 +157,8 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<Start, Change, Stop, Ending, WorkerList, Arrival, Outcome, Taken, Started,
-                           Progress, ClientLeft, Probed, PeerTold, TimerFired>;
+using Event = std::variant<Start, Change, Stop, Ending, Maintain, WorkerList, Arrival, Outcome, Taken,
+                           Started, Progress, ClientLeft, Probed, PeerTold, TimerFired>;
 
 struct Send {
   RequestId id = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,7 +26,7 @@
   woadridge::net::open_log();
   woadridge::net::Service service(std::move(std::get<woadridge::net::Config>(config)), path);
   if (const std::string fault = service.open(); !fault.empty()) {
-    std::cerr << "woadridge: cannot listen on " << fault << "\n";
+    std::cerr << "woadridge: cannot listen: " << fault << "\n";
     return 1;
   }
   service.run();
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <boost/asio/write.hpp>
 
+#include "net/percent.h"
+
 // Last: it defines the words of the coroutines as macros.
 // clang-format off
 #include <boost/asio/yield.hpp>
@@ -29,6 +31,8 @@
 constexpr Route kFigures{"GET", "/status/metrics"};
 constexpr Route kStandby{"POST", "/standby"};
 constexpr Route kActive{"POST", "/active"};
+constexpr std::string_view kEnter = "/maintenance/enter/";  // POST, and the worker's id behind it
+constexpr std::string_view kExit = "/maintenance/exit/";
 
 }  // namespace
 
@@ -90,18 +94,31 @@
 void AdminConnection::take_call() {
   const auto target = reader_.target();
   const auto path = target.substr(0, target.find('?'));
-  const auto with = [&](const Route& route, auto action) {
-    if (reader_.method() == route.method) return action();
-    answer(405, fmt::format("Allow: {}\r\n", route.method), "another method is needed\n");
+  const auto with = [&](std::string_view method, auto action) {
+    if (reader_.method() == method) return action();
+    answer(405, fmt::format("Allow: {}\r\n", method), "another method is needed\n");
   };
-  const auto tell = [&](const Reply& reply) { answer(reply.yes ? 200 : 503, {}, reply.text); };
-  if (path == kStatus.path) return with(kStatus, [&] { tell(admin_.operations_.status()); });
-  if (path == kFigures.path) return with(kFigures, [&] { tell({true, admin_.operations_.figures()}); });
-  if (path == kStandby.path) return with(kStandby, [&] { tell(admin_.operations_.standby()); });
-  if (path == kActive.path) return with(kActive, [&] { tell(admin_.operations_.active()); });
+  auto& operations = admin_.operations_;
+  if (path == kStatus.path) return with(kStatus.method, [&] { tell(operations.status()); });
+  if (path == kFigures.path) return with(kFigures.method, [&] { tell({true, operations.figures()}); });
+  if (path == kStandby.path) return with(kStandby.method, [&] { tell(operations.standby()); });
+  if (path == kActive.path) return with(kActive.method, [&] { tell(operations.active()); });
+  for (const bool out : {true, false})
+    if (const auto prefix = out ? kEnter : kExit; path.starts_with(prefix))
+      return with("POST", [&] { take_maintenance(path.substr(prefix.size()), out); });
   answer(404, {}, "no such call\n");
 }
 
+void AdminConnection::take_maintenance(std::string_view text, bool out) {
+  const auto id = percent_decoded(text);
+  if (!id || id->empty()) return answer(400, {}, "the path does not end in a worker's id\n");
+  tell(admin_.operations_.maintain(*id, out));
+}
+
+void AdminConnection::tell(const Reply& reply) {
+  answer(reply.yes ? 200 : reply.unknown ? 404 : 503, {}, reply.text);
+}
+
 void AdminConnection::answer(int status, std::string_view more, std::string_view body) {
   answered_ = true;
   since_ = admin_.clock_.now();
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -15,7 +15,8 @@
 
 struct Reply {
   bool yes = true;
-  std::string text;  // for people: what was done, or why not
+  std::string text;      // for people: what was done, or why not
+  bool unknown = false;  // a no, as there is no such worker
 };
 
 class Operations {  // what staff may ask of a dispatcher
@@ -25,6 +26,7 @@
   virtual std::string figures() = 0;
   virtual Reply standby() = 0;
   virtual Reply active() = 0;
+  virtual Reply maintain(const std::string& worker, bool out) = 0;
 };
 
 class Admin;
@@ -44,6 +46,8 @@
   void run(Fault fault);
   void read(Fault& fault);
   void take_call();
+  void take_maintenance(std::string_view path, bool out);
+  void tell(const Reply& reply);
   void refuse_call();
   void answer(int status, std::string_view more, std::string_view body);
   void written();
--- a/src/net/budget.cpp
+++ b/src/net/budget.cpp
@@ -31,7 +31,7 @@
 }
 
 BufferSpace::BufferSpace(std::int64_t memory_mb)
-    : most_(static_cast<std::size_t>((memory_mb > 0 ? memory_mb : kMemoryUntold) * kMegabyte / kBufferPart)) {
-}
+    : whole_(static_cast<std::size_t>((memory_mb > 0 ? memory_mb : kMemoryUntold) * kMegabyte / kBufferPart)),
+      most_(whole_) {}
 
 }  // namespace woadridge::net
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -8,7 +8,7 @@
 
 class Budget {
  public:
-  explicit Budget(int descriptors, int operators = 0);  // those kept for operators
+  explicit Budget(int descriptors, int operators = 0);  // and those kept for operators
 
   int most_clients() const { return most_clients_; }
   // Of these so many are kept free for newcomers that can only be refused.
@@ -29,11 +29,14 @@
 
   bool has(std::size_t bytes) const { return taken_ + bytes <= most_; }
   void take(std::size_t bytes) { taken_ += bytes; }
+  // So many processes share the memory for now. What is taken beyond the part goes as messages end.
+  void share(std::size_t processes) { most_ = whole_ / processes; }
   void give_back(std::size_t bytes) { taken_ -= bytes; }
   std::size_t taken() const { return taken_; }
   std::size_t most() const { return most_; }
 
  private:
+  std::size_t whole_;
   std::size_t most_;
   std::size_t taken_ = 0;
 };
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -159,13 +159,27 @@
   return config;
 }
 
+std::string environment(const char* name) {  // empty: not told
+  const char* value = std::getenv(name);
+  return value == nullptr ? std::string() : value;
+}
+
 // The operators' address is told in both places: a process that starts beside another has its own there.
-// Before the file's, which may be the other's. False: it can't be used.
-bool read_environment(Config& config) {
-  const char* ops = std::getenv("EDGE_OPS");
-  if (ops == nullptr || *ops == '\0') return true;
-  config.ops = parse_address(ops);
-  return config.ops.has_value();
+// Before the file's, which may be the other's.
+void read_environment(Config& config) {
+  if (const auto ops = environment("EDGE_OPS"); !ops.empty()) {
+    config.ops = parse_address(ops);
+    if (!config.ops) throw Malformed("EDGE_OPS is not address:port: " + ops);
+  }
+  if (const auto text = environment("EDGE_INHERITED_FD"); !text.empty()) {
+    int descriptor = -1;
+    const auto [stop, fault] = std::from_chars(text.data(), text.data() + text.size(), descriptor);
+    if (fault != std::errc() || stop != text.data() + text.size() || descriptor < 0)
+      throw Malformed("EDGE_INHERITED_FD is not a descriptor: " + text);
+    config.inherited = descriptor;
+  }
+  const auto folder = environment("TMPDIR");
+  config.scratch = folder.empty() ? "/tmp" : folder;
 }
 
 std::optional<Phase> phase_of(std::string_view word) {
@@ -252,8 +266,11 @@
   text << file.rdbuf();
   if (!file.is_open() || !text) return ConfigFault{path + ": cannot be read"};
   auto read = read_config(text.str());
-  if (auto* config = std::get_if<Config>(&read); config != nullptr && !read_environment(*config))
-    return ConfigFault{"EDGE_OPS is not address:port"};
+  try {
+    if (auto* config = std::get_if<Config>(&read); config != nullptr) read_environment(*config);
+  } catch (const Malformed& fault) {
+    return ConfigFault{fault.what()};
+  }
   if (auto* fault = std::get_if<ConfigFault>(&read)) fault->message = path + ": " + fault->message;
   return read;
 }
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -21,9 +21,11 @@
   std::string name;
   Address listen;
   Address discovery;
-  std::optional<Address> ops;  // the operators' address; none: not opened
-  int sockets = 0;             // the most descriptors that the process may hold
-  std::int64_t memory_mb = 0;  // 0: not told
+  std::optional<Address> ops;    // the operators' address; none: not opened
+  std::optional<int> inherited;  // a descriptor that listens already, held by the platform
+  std::string scratch;           // a folder that outlives the process
+  int sockets = 0;               // the most descriptors that the process may hold
+  std::int64_t memory_mb = 0;    // 0: not told
   Settings settings;
   NetworkSettings network;
   Members known;
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -71,7 +71,8 @@
 
 Settings Engine::module_settings() const {
   Settings settings = config_.settings;
-  settings.tells_taken = true;  // a worker answers 200 when it has taken a job, before it starts
+  settings.tells_taken = true;        // a worker answers 200 when it has taken a job, before it starts
+  settings.fleet_size *= processes_;  // what this one may send cold workers is halved, not what others may
   return settings;
 }
 
@@ -87,6 +88,18 @@
   if (config_.settings.list_mode == ListMode::pushed) watch();
 }
 
+void Engine::share(int processes, int most_worker_connections) {
+  processes_ = processes;
+  most_worker_connections_ = most_worker_connections;
+  change_settings();
+}
+
+void Engine::maintain(const WorkerId& worker, bool out) {
+  spdlog::info("worker {} is {}", worker, out ? "taken out" : "put back");
+  workers_.drop_idle(worker);
+  give(Maintain{worker, out});
+}
+
 // ---- events to the module ----
 
 Micros Engine::now() {
@@ -224,6 +237,7 @@
     news.whole = false;  // an entry that can't be read is no worker that is gone
   }
   failed_watches_ = 0;
+  heard_list_ = true;
   learn_members(news);
   hand_on();
 }
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -56,7 +56,13 @@
   void move_discovery(const Address& address);
   // The configuration holds other settings from now on: the module goes on with them, open requests included.
   void change_settings();
+  // Staff take a worker out, or put it back. Named: a list has told of it, now or before.
+  void maintain(const WorkerId& worker, bool out);
+  bool has_named(const WorkerId& worker) const { return roster_.ever_named(worker); }
+  // So many processes are this one dispatcher for now: to limits and cold workers they are one.
+  void share(int processes, int most_worker_connections);
 
+  bool has_heard_list() const { return heard_list_; }  // from discovery itself, or what changed since
   bool holds_list() const { return !roster_.empty(); }
   const ClassSettings* class_named(std::string_view name) const;  // null: unknown
   bool knows_tenant(std::string_view name) const;                 // any, where the settings name none
@@ -143,6 +149,8 @@
   std::vector<Action> actions_;
   bool giving_ = false;
   bool stopped_ = false;
+  bool heard_list_ = false;
+  int processes_ = 1;
   Micros last_now_ = 0;
   std::map<RequestId, Open> requests_;
   std::set<std::string, std::less<>> names_;  // of all these: one name, one request
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -21,8 +21,8 @@
       most_(static_cast<std::size_t>(budget.most_clients())),
       turnstile_(static_cast<std::size_t>(budget.turnstile())) {}
 
-std::string Intake::listen(const Address& address) {
-  std::string fault = listener_.open(address);
+std::string Intake::listen(const Address& address, std::optional<int> inherited) {
+  std::string fault = inherited ? listener_.inherit(*inherited) : listener_.open(address);
   if (fault.empty()) sweep();
   return fault;
 }
@@ -84,6 +84,18 @@
 }
 
 // What the system has accepted counts as ours: it is taken in before the listener closes.
+void Intake::set_budget(const Budget& budget) {
+  most_ = static_cast<std::size_t>(budget.most_clients());
+  turnstile_ = static_cast<std::size_t>(budget.turnstile());
+  for (std::size_t over = connections_.size(); over > most_; --over)
+    if (!make_room()) break;
+  listener_.go_on();
+}
+
+void Intake::leave_listener() {
+  listener_.close();
+}
+
 void Intake::stop_listening() {
   listener_.take_rest();
   listener_.close();
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -17,7 +17,8 @@
   Intake(Strand strand, Engine& engine, const Budget& budget, BufferSpace& space);
 
   // An empty text, or why the address can't be listened on.
-  std::string listen(const Address& address);
+  std::string listen(const Address& address, std::optional<int> inherited);
+  void set_budget(const Budget& budget);  // what is idle beyond it is closed
   std::uint16_t port() const { return listener_.port(); }
   void begin_ending() { ending_ = true; }  // health turns 503
   // The same, and answers close their connections, for as long as it lasts.
@@ -28,7 +29,9 @@
   void refuse_new() { refusing_ = true; }      // what is read from now on is told to come elsewhere
   void close_all_after() { closing_ = true; }  // answers close their connections
   void stop_listening();
+  void leave_listener();             // to another process that holds it too: what waits there is for that one
   void close_idle(Micros at_least);  // those that have been idle for so long and have sent nothing
+  bool listens() const { return listener_.is_open(); }
   bool idle() const { return connections_.empty(); }
   void stop();
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "net/handover.h"
+
 namespace woadridge::net {
 namespace {
 
@@ -31,6 +33,17 @@
   return {};
 }
 
+std::string Listener::inherit(int descriptor) {
+  std::string fault = check_listening(descriptor);
+  Fault refused;
+  if (fault.empty()) acceptor_.assign(Tcp::v4(), descriptor, refused);
+  if (fault.empty() && !refused) acceptor_.non_blocking(true, refused);
+  if (refused) fault = refused.message();
+  if (!fault.empty()) return "EDGE_INHERITED_FD " + std::to_string(descriptor) + ": " + fault;
+  accept();
+  return {};
+}
+
 std::uint16_t Listener::port() const {
   Fault ignored;
   return acceptor_.local_endpoint(ignored).port();
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -14,11 +14,12 @@
   Listener(Strand strand, std::function<bool()> room, std::function<void(Socket)> take);
 
   std::string open(const Address& address);  // an empty text, or why it can't be listened on
+  std::string inherit(int descriptor);       // one that listens already, and others may hold too
   bool is_open() const { return acceptor_.is_open(); }
   std::uint16_t port() const;
   void go_on();      // there may be room again
   void take_rest();  // what the system has accepted already, as far as there is room
-  void close();
+  void close();      // of one that was inherited only this process's hold: its backlog stays
 
  private:
   void accept();
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 
 #include "net/budget.h"
+#include "net/percent.h"
 
 namespace woadridge::net {
 namespace {
@@ -28,6 +29,12 @@
 // A job that was taken in the last 2 s of the 4 that a drain has is one too late; half a second for the way.
 constexpr Micros kLastTaken = 1'500'000;
 constexpr auto kStandbyStep = std::chrono::milliseconds(50);
+// How soon another process of this dispatcher is noticed, and what it writes: the shortest grace of a drain
+// is 0.5 s.
+constexpr auto kRound = std::chrono::milliseconds(100);
+// DAYS.md: a process that starts beside another has 6 s to say yes; discovery's news bind from 2 s after
+// that.
+constexpr Micros kListPatience = 2'000'000;
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -39,22 +46,33 @@
       strand_(boost::asio::make_strand(io_)),
       engine_(strand_, config_, budget().most_workers(), space_),
       intake_(strand_, engine_, budget(), space_),
+      bans_(path_of("bans")),
       admin_(strand_, engine_.clock(), *this),
       signals_(io_, SIGTERM, SIGINT),
       reload_signal_(io_, SIGHUP),
       timer_(strand_),
-      standby_timer_(strand_) {}
+      standby_timer_(strand_),
+      round_timer_(strand_),
+      begun_(engine_.clock().now()) {}
 
+// While two processes are this dispatcher, each holds half of what one may.
 Budget Service::budget() const {
-  return Budget(config_.sockets, config_.ops ? Admin::kDescriptors : 0);
+  const int processes = beside_another_ ? 2 : 1;
+  return Budget(config_.sockets / processes, config_.ops ? Admin::kDescriptors : 0);
+}
+
+std::string Service::path_of(const char* kind) const {
+  return config_.scratch + "/woadridge-" + percent_encoded(config_.name) + "." + kind;
 }
 
 std::string Service::open() {
   engine_.start();
+  learn_bans();
+  if (std::string fault = open_presence(); !fault.empty()) return fault;
   if (std::string fault = open_admin(); !fault.empty()) return fault;
-  if (std::string fault = intake_.listen(config_.listen); !fault.empty()) return fault;
-  spdlog::info("{} listens on {}:{} with {} workers known", config_.name, config_.listen.host, port(),
-               config_.known.entries.size());
+  if (may_listen())
+    if (std::string fault = listen(); !fault.empty()) return fault;
+  look_round();
   signals_.async_wait([this](Fault cancelled, int) {
     if (!cancelled) end();
   });
@@ -69,10 +87,97 @@
   return fault.empty() ? fault : "ops " + fault;
 }
 
+// ---- another process beside this one ----
+
+// Only where the platform holds the listener can there be another.
+std::string Service::open_presence() {
+  if (!config_.inherited) return {};
+  std::string fault = presence_.open(path_of("serving"));
+  if (!fault.empty()) return fault;
+  beside_another_ = presence_.another_is_there();
+  if (beside_another_) share();
+  return {};
+}
+
+// Beside another process, which serves meanwhile, clients are taken only with the list that discovery tells
+// now.
+bool Service::may_listen() const {
+  return !beside_another_ || (engine_.holds_list() &&
+                              (engine_.has_heard_list() || engine_.clock().now() - begun_ > kListPatience));
+}
+
+std::string Service::listen() {
+  std::string fault = intake_.listen(config_.listen, config_.inherited);
+  if (fault.empty()) fault = presence_.serve();
+  if (!fault.empty()) return fault;
+  spdlog::info("{} listens on {}:{} with {} workers known", config_.name, config_.listen.host, port(),
+               config_.known.entries.size());
+  return {};
+}
+
+void Service::look_round() {
+  learn_bans();
+  look_for_another();
+  if (!intake_.listens() && told_to_end_ == 0 && may_listen())
+    if (const std::string fault = listen(); !fault.empty()) spdlog::error("cannot listen on {}", fault);
+  round_timer_.expires_after(kRound);
+  round_timer_.async_wait([this](Fault fault) {
+    if (!fault) look_round();
+  });
+}
+
+void Service::look_for_another() {
+  const bool there = presence_.another_is_there();
+  if (std::exchange(beside_another_, there) == there) return;
+  spdlog::info("another process of this dispatcher is {}", there ? "here" : "gone");
+  share();
+}
+
+void Service::share() {
+  const Budget part = budget();
+  space_.share(beside_another_ ? 2 : 1);
+  intake_.set_budget(part);
+  engine_.share(beside_another_ ? 2 : 1, part.most_workers());
+}
+
+// Of the file, at the start and when the other process has written.
+void Service::learn_bans() {
+  if (!config_.ops) return;
+  for (const auto& news : bans_.read()) engine_.maintain(news.worker, news.out);
+}
+
 // ---- what operators ask ----
 
+Reply Service::maintain(const std::string& worker, bool out) {
+  learn_bans();
+  if (!bans_.has(worker) && !engine_.has_named(worker))
+    return {false, "no list has named this worker\n", true};
+  return out ? take_out(worker) : put_back(worker);
+}
+
+// The worker gets nothing new from here on, also where the promise to keep that can't be given.
+Reply Service::take_out(const std::string& worker) {
+  engine_.maintain(worker, true);
+  const std::string fault = bans_.put(worker, true);
+  if (fault.empty()) return {true, "taken out\n"};
+  spdlog::error("the ban of {} would not outlast this process: {}", worker, fault);
+  return {false, "taken out, but only until this process ends: " + fault + "\n"};
+}
+
+Reply Service::put_back(const std::string& worker) {
+  if (!bans_.has(worker)) return {true, "was not taken out\n"};
+  const std::string fault = bans_.put(worker, false);
+  if (!fault.empty()) {
+    spdlog::error("the ban of {} stays: {}", worker, fault);
+    return {false, "still taken out: " + fault + "\n"};
+  }
+  engine_.maintain(worker, false);
+  return {true, "put back\n"};
+}
+
 Reply Service::status() {
   if (told_to_end_ != 0) return {false, "ending\n"};
+  if (!intake_.listens()) return {false, "does not take clients yet\n"};
   if (!engine_.holds_list()) return {false, "no list of workers yet\n"};
   return {true, "serving\n"};
 }
@@ -175,6 +280,7 @@
   told_to_end_ = engine_.clock().now();
   spdlog::info("told to end: {} requests to be answered", engine_.unanswered());
   intake_.begin_ending();
+  handed_over_ = hand_over();
   engine_.end_at(told_to_end_ + patience());
   go_on_ending();
 }
@@ -183,13 +289,22 @@
   return std::min(config_.network.longest_deadline, kLongestWait) + kAfterDeadline;
 }
 
+// Another process serves the same listener: clients are better off there, and what waits in the backlog is
+// its.
+bool Service::hand_over() {
+  if (!presence_.another_serves()) return false;
+  spdlog::info("the other process goes on");
+  intake_.leave_listener();
+  return true;
+}
+
 void Service::go_on_ending() {
   const Micros gone = engine_.clock().now() - told_to_end_;
-  if (gone >= std::max(kStillListening, patience() - kLastRuns)) {
+  if (handed_over_ || gone >= std::max(kStillListening, patience() - kLastRuns)) {
     intake_.close_all_after();
     intake_.close_idle(kFirstRequest);
   }
-  if (gone >= kStillListening) {
+  if (handed_over_ || gone >= kStillListening) {
     intake_.stop_listening();
     if (intake_.idle() || gone >= patience() + kLastAnswers) return finish();
     if (gone >= patience()) engine_.answer_all();
@@ -204,6 +319,7 @@
   spdlog::info("ended with {} requests not answered", engine_.unanswered());
   timer_.cancel();
   standby_timer_.cancel();
+  round_timer_.cancel();
   signals_.cancel();
   reload_signal_.cancel();
   intake_.stop();
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -5,7 +5,9 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "net/admin.h"
+#include "net/handover.h"
 #include "net/intake.h"
+#include "net/maintenance.h"
 
 namespace woadridge::net {
 
@@ -24,10 +26,22 @@
   std::string figures() override { return engine_.figures(); }
   Reply standby() override;
   Reply active() override;
+  Reply maintain(const std::string& worker, bool out) override;
+  Reply take_out(const std::string& worker);
+  Reply put_back(const std::string& worker);
   void go_on_standing_by();
 
   Budget budget() const;
   std::string open_admin();
+  std::string open_presence();
+  std::string path_of(const char* kind) const;  // of a file of this dispatcher that outlives the process
+  std::string listen();
+  bool may_listen() const;
+  void look_round();
+  void look_for_another();
+  void learn_bans();
+  void share();
+  bool hand_over();
   void await_reload();
   void read_again();
   void take_over(const Config& fresh);
@@ -44,11 +58,17 @@
   Strand strand_;
   Engine engine_;
   Intake intake_;
+  Bans bans_;
+  Presence presence_;
   Admin admin_;
   boost::asio::signal_set signals_;
   boost::asio::signal_set reload_signal_;
   Timer timer_;
   Timer standby_timer_;
+  Timer round_timer_;
+  Micros begun_ = 0;
+  bool beside_another_ = false;
+  bool handed_over_ = false;
   Micros standby_since_ = 0;  // 0: takes clients
   Micros told_to_end_ = 0;
 };
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -322,6 +322,7 @@
   connect_timeout_ = connect_timeout;
   idle_limit_ = static_cast<Micros>(kIdlePart * static_cast<double>(idle_limit));
   most_ = static_cast<std::size_t>(most_connections);
+  while (connections_.size() > most_ && !idle_.empty()) drop(idle_.front());
 }
 
 void WorkerPool::locate(const WorkerId& worker, const Address& address) {
--- a/src/records.h
+++ b/src/records.h
@@ -99,11 +99,13 @@
   Micros judged_until = 0;       // no work before
   bool suspect = false;          // has broken off or fallen silent since its last answer
   int strikes = 0;               // judgements not yet made good by an answer
+  bool banned = false;           // taken out by staff
   bool unreachable = false;      // refused a connection or broke one since its last sign of life
   Micros drawn_span = -1;        // the span, counted from its start, for which a grant was drawn
   bool granted = false;          // while it is cold
   std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
 
+  bool is_offered() const { return info.phase == Phase::serving && !banned; }  // by list and staff
   double sent_since(Micros at) {
     while (!sent.empty() && sent.front().first <= at) sent.pop_front();
     double all = 0;
@@ -166,7 +168,8 @@
 
 struct Request {
   RequestId id = 0;
-  std::shared_ptr<const ClassSettings> of;  // as it was when this came
+  std::shared_ptr<const ClassSettings> of;  // as it was when this came, and ...
+  int most_attempts = 1;                    // ... so was this
   Micros due = 0;
   Micros deadline = 0;
   double work = 0;
@@ -254,6 +257,7 @@
   std::uint64_t lane_rounds = 0;            // settings of the lanes so far
   std::uint64_t lists = 0;                  // learnt so far
   std::multimap<Micros, WorkerId> resting;  // judged ones, by when that ends
+  std::set<WorkerId> banned;                // taken out by staff, listed or not
   std::set<WorkerId> leaving;               // gone, to be forgotten with their last attempt
   int late_workers = 0;                     // with own attempts that should have started by now
   std::map<std::pair<std::string, double>, Kind> kinds;
@@ -362,6 +366,7 @@
       w.name = at->first;
       w.own_hash = id_hash(info.id, set.seed);
       w.lane_hash = id_hash(info.id, 0);
+      w.banned = banned.contains(info.id);
     }
     if (moved) place(w);
     if (info.started > last_start) w.new_process(info.started);
@@ -422,6 +427,13 @@
         found.push_back(static_cast<Worker*>(spot.owner));
     return found;
   }
+  Worker* set_banned(const WorkerId& id, bool yes) {  // null: no worker that is known, or no news
+    if (yes ? !banned.insert(id).second : banned.erase(id) == 0) return nullptr;
+    const auto found = workers.find(id);
+    if (found == workers.end()) return nullptr;
+    found->second.banned = yes;
+    return &found->second;
+  }
   std::vector<Worker*> rested() {  // those whose rest has ended since it was asked last
     std::vector<Worker*> found;
     for (; !resting.empty() && resting.begin()->first <= now; resting.erase(resting.begin()))
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -5,6 +5,8 @@
 namespace woadridge::roster {
 namespace {
 
+constexpr std::size_t kMostLeft = 20'000;  // some 2 MB: a fleet of 200 replaced a hundred times
+
 bool same(const WorkerInfo& a, const WorkerInfo& b) {
   return a.phase == b.phase && a.started == b.started && a.kind == b.kind && a.zone == b.zone &&
          a.group == b.group && a.size == b.size;
@@ -46,10 +48,19 @@
 void Roster::drop(const std::string& id, Held& held) {
   held.member.info.phase = Phase::gone;
   --present_;
+  remember_left(id);
   changes_.push_back({&held.member, false, false});
   note(id, held);
 }
 
+void Roster::remember_left(const std::string& id) {
+  if (!left_.insert(id).second) return;
+  left_order_.push_back(id);
+  if (left_order_.size() <= kMostLeft) return;
+  left_.erase(left_order_.front());
+  left_order_.pop_front();
+}
+
 void Roster::note(const std::string& id, Held& held) {
   const bool was_waiting = std::exchange(held.waits, true);
   if (held.member.info.phase != Phase::serving) urgent_.push_back(id);
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "decide.h"
@@ -53,6 +54,7 @@
 
   std::size_t size() const { return present_; }  // workers that are listed, draining ones too
   bool empty() const { return present_ == 0; }
+  bool ever_named(const std::string& id) const { return held_.contains(id) || left_.contains(id); }
 
  private:
   struct Held {
@@ -64,8 +66,11 @@
   void note(const std::string& id, Held& held);
   void take(const Member& entry);
   void drop(const std::string& id, Held& held);
+  void remember_left(const std::string& id);
 
   std::unordered_map<std::string, Held> held_;
+  std::unordered_set<std::string> left_;   // ids that lists have named and that are gone, the latest ...
+  std::deque<std::string> left_order_;     // ... in the order in which they went
   std::deque<std::string> urgent_, calm_;  // an id may be in both: the first time counts
   std::vector<Change> changes_;
   std::uint64_t lists_ = 0;
