--- a/tests/net_rig.h
+++ b/tests/net_rig.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <cstdint>
 #include <cstring>
+#include <filesystem>
 #include <functional>
 #include <stdexcept>
 #include <string>
@@ -131,6 +132,22 @@
   bool ended_ = false;
 };
 
+class Scratch {  // a folder of its own, gone with its scope
+ public:
+  Scratch() {
+    std::string name = ::testing::TempDir() + "woadridge-XXXXXX";
+    if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error(std::strerror(errno));
+    path_ = name;
+  }
+  ~Scratch() { std::filesystem::remove_all(path_); }
+  Scratch(const Scratch&) = delete;
+  Scratch& operator=(const Scratch&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
 class Listener {  // on a port that the system picks
  public:
   explicit Listener(int backlog = 16, std::uint16_t port = 0) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
@@ -151,6 +168,7 @@
   Listener& operator=(const Listener&) = delete;
 
   std::uint16_t port() const { return port_; }
+  int descriptor() const { return fd_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   Peer accept() {
     pollfd ready{fd_, POLLIN, 0};
--- a/tests/service_rig.h
+++ b/tests/service_rig.h
@@ -40,6 +40,7 @@
     config_.name = "n0";
     config_.listen = {"127.0.0.1", 0};
     config_.discovery = {"127.0.0.1", discovery_.port()};
+    config_.scratch = scratch_.path();
     config_.sockets = 1024;
     config_.settings = settings_of_tests();
     config_.network = {10'000'000, 20'000'000};
@@ -93,6 +94,7 @@
     peer.write(taken() + chunk(line(id, "started")) + chunk(done(id, result)) + "0\r\n\r\n");
   }
 
+  Scratch scratch_;
   Listener worker_;
   Listener discovery_;
   // One job to the worker that listens there, served.
