--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -53,8 +53,11 @@
     if (value.kind == Json::Kind::list) return add_list(path, value);
     if (value.kind == Json::Kind::null) return;  // as absent
     if (value.kind != Json::Kind::object) return put(path, plain(value));
-    for (const auto& [name, member] : value.members)
-      add(path.empty() ? std::string(name) : path + "." + std::string(name), member);
+    for (const auto& [name, member] : value.members) {
+      const std::string at = path.empty() ? std::string(name) : path + "." + std::string(name);
+      if (&member != value.find(name)) throw Malformed("settings." + at + " is there twice");
+      add(at, member);
+    }
   }
 
   std::deque<std::string> texts_;  // never moved: the values are views into them
@@ -85,12 +88,46 @@
   return seed;
 }
 
+const char* word_for(Json::Kind kind) {
+  if (kind == Json::Kind::number) return "number";
+  if (kind == Json::Kind::text) return "text";
+  return kind == Json::Kind::list ? "list" : "object";
+}
+
+void need(const Json& tree, const std::string& at, std::string_view path, Json::Kind kind) {
+  const Json* found = &tree;
+  for (const auto name : split(path, '.'))
+    if (found != nullptr) found = found->find(name);
+  const std::string setting = at + std::string(path);
+  if (found == nullptr || found->kind == Json::Kind::null) throw Malformed("missing " + setting);
+  if (found->kind != kind) throw Malformed(setting + " is no " + word_for(kind));
+}
+
+// Guards against a file that was cut short or lost a line: defaults for what the rules rest on would change
+// what may be sent twice, and what a cold worker is sent.
+void check_present(const Json& settings) {
+  using Kind = Json::Kind;
+  for (const auto* path : {"tick", "fleet-size", "limits.dial-timeout", "limits.max-attempts",
+                           "obligations.drain-grace", "obligations.cold-from", "obligations.warm-after",
+                           "obligations.overload-factor", "obligations.overload-for"})
+    need(settings, "settings.", path, Kind::number);
+  need(settings, "settings.", "grades", Kind::list);
+  const auto& classes = settings.find("grades")->items;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    const std::string at = "settings.grades." + std::to_string(i) + ".";
+    for (const auto* path : {"name", "effect"}) need(classes[i], at, path, Kind::text);
+    for (const auto* path : {"target", "hard-limit"}) need(classes[i], at, path, Kind::number);
+    if (classes[i].find("effect")->raw != "by_key") continue;
+    need(classes[i], at, "key-scope", Kind::text);
+    need(classes[i], at, "memory-span", Kind::number);
+  }
+}
+
 // Settings name a list of objects; one that is empty has no count, and none at all could serve nothing.
-void check_settings(const Settings& settings, const NetworkSettings& network) {
+void check_settings(const Settings& settings) {
   if (settings.classes.empty()) throw Malformed("settings.grades names no class");
-  if (network.longest_deadline <= 0) throw Malformed("settings.grades names no hard-limit");
-  if (settings.connect_timeout <= 0) throw Malformed("missing settings.limits.dial-timeout");
-  if (settings.tick <= 0) throw Malformed("missing settings.tick");
+  if (settings.connect_timeout <= 0) throw Malformed("settings.limits.dial-timeout is out of range");
+  if (settings.tick <= 0) throw Malformed("settings.tick is out of range");
   const auto within = [](double value, double least, double most, const std::string& name) {
     if (!(value >= least && value <= most)) throw Malformed("settings." + name + " is out of range");
   };
@@ -141,14 +178,17 @@
   const int own = own_descriptor_limit();
   config.sockets = static_cast<int>(std::min<std::int64_t>(read_limit(tree, "sockets").value_or(own), own));
   config.memory_mb = read_limit(tree, "memory_mb").value_or(0);
-  const Flat flat(required(tree, "settings", Json::Kind::object));
+  const Json& settings = required(tree, "settings", Json::Kind::object);
+  required(tree, "limits", Json::Kind::object);
+  check_present(settings);
+  const Flat flat(settings);
   try {
     config.settings = read_settings(flat.values());
     config.network = read_network_settings(flat.values());
   } catch (const Malformed& fault) {
     throw Malformed(std::string("in settings: ") + fault.what());
   }
-  check_settings(config.settings, config.network);
+  check_settings(config.settings);
   config.settings.may_tell = false;  // no channel between dispatchers here, whatever the platform allows
   config.settings.seed = read_seed(tree);
   if (const Json* known = tree.find("known"); known != nullptr && known->kind != Json::Kind::null) {
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -151,6 +151,7 @@
   open.client = std::move(client);
   open.job = job;
   open.deadline = now() + job.time_left;
+  open.most_attempts = config_.settings.max_attempts;
   open.counts = &metrics_.of_class(job.class_name);
   ++unanswered_;
   ++metrics_.taken;
@@ -296,7 +297,7 @@
   open.tries.push_back({action.worker});
   ++open.out;
   const Micros left = open.deadline - now();
-  const bool allowed = open.client != nullptr && left > 0 && key.number < config_.settings.max_attempts;
+  const bool allowed = open.client != nullptr && left > 0 && key.number < open.most_attempts;
   if (!allowed) return end_attempt(key, Result::never_sent);
   spdlog::debug("job {} attempt {} to {}", key.id, key.number, action.worker);
   const Micros timeout = action.timeout > 0 ? std::min(action.timeout, left) : left;
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -84,6 +84,7 @@
     ClassCounts* counts = nullptr;
     Job job;  // slices; not used after the answer
     Micros deadline = 0;
+    int most_attempts = 1;  // as the settings were when it came
     std::vector<Try> tries;
     int out = 0;
   };
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -122,12 +122,30 @@
   EXPECT_EQ(fault_of(replaced(good, "8c1f30d27a5be964", "xyz")), "seed is not a hexadecimal number: xyz");
   EXPECT_EQ(fault_of(replaced(good, "\"sockets\":64", "\"sockets\":0")),
             "limits.sockets is not a whole number above 0");
-  EXPECT_EQ(fault_of(replaced(good, "\"tick\":2000", "\"tick\":\"soon\"")),
-            "in settings: tick is not a number: soon");
+  EXPECT_EQ(fault_of(replaced(good, "\"tick\":2000", "\"tick\":\"soon\"")), "settings.tick is no number");
   EXPECT_EQ(fault_of(replaced(good, "\"dial-timeout\":250000,", "")), "missing settings.limits.dial-timeout");
+  for (const std::string entry :
+       {R"("tick":2000,)", R"("fleet-size":3,)", R"("max-attempts":4,)", R"("drain-grace":1500000,)",
+        R"("cold-from":0.25,)", R"("warm-after":8900000,)", R"("overload-factor":2.5,)",
+        R"("effect":"by_key",)", R"("key-scope":"cell",)", R"("memory-span":700,)", R"("target":10,)",
+        R"("hard-limit":99,)", R"("effect":"once",)"}) {
+    const auto name = entry.substr(1, entry.find('"', 1) - 1);
+    const auto fault = fault_of(replaced(good, entry, ""));
+    EXPECT_TRUE(fault.starts_with("missing settings.") && fault.ends_with(name)) << fault;
+    const auto other_type = entry.substr(0, entry.find(':') + 1) + "true,";
+    EXPECT_TRUE(fault_of(replaced(good, entry, other_type)).starts_with("settings.")) << entry;
+  }
+  EXPECT_EQ(fault_of(replaced(good, "\"tick\":2000", "\"tick\":2000,\"tick\":9")),
+            "settings.tick is there twice");
+  for (const char* nonsense : {"0", "-4", "2.5", "\"4\"", "1e99"})
+    EXPECT_NE(fault_of(replaced(good, "\"max-attempts\":4", std::string("\"max-attempts\":") + nonsense)), "")
+        << nonsense;
+  for (const char* nonsense : {"0", "-99", "\"99\"", "null", "[]"})
+    EXPECT_NE(fault_of(replaced(good, "\"hard-limit\":99", std::string("\"hard-limit\":") + nonsense)), "")
+        << nonsense;
   EXPECT_EQ(fault_of(replaced(good, "\"by_key\"", "\"by_luck\"")), "in settings: unknown effect: by_luck");
   EXPECT_EQ(fault_of(replaced(good, "\"endpoints\"", "\"nothing\"")), "known is not a list of workers");
-  EXPECT_EQ(fault_of(replaced(good, "\"grades\"", "\"degrees\"")), "settings.grades names no class");
+  EXPECT_EQ(fault_of(replaced(good, "\"grades\"", "\"degrees\"")), "missing settings.grades");
 }
 
 TEST(Config, AFileThatCannotBeReadIsNamed) {
--- a/tests/net_rig.h
+++ b/tests/net_rig.h
@@ -188,6 +188,28 @@
   std::uint16_t port_ = 0;
 };
 
+class Vacant {  // a port where nobody listens, held so that no other test gets it
+ public:
+  Vacant() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    if (::bind(fd_, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
+        ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size) != 0)
+      throw std::runtime_error(std::strerror(errno));
+    port_ = ntohs(at.sin_port);
+  }
+  ~Vacant() { ::close(fd_); }
+  Vacant(const Vacant&) = delete;
+  Vacant& operator=(const Vacant&) = delete;
+  std::uint16_t port() const { return port_; }
+
+ private:
+  int fd_;
+  std::uint16_t port_ = 0;
+};
+
 inline std::string chunk(std::string_view text) {
   char size[20];
   std::snprintf(size, sizeof size, "%zx\r\n", text.size());
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -351,8 +351,12 @@
 
 // ---- a new configuration ----
 
-class Reload : public ServiceTest {
+class Reload : public OpsTest {
  protected:
+  static constexpr const char* kObligations =
+      R"("obligations":{"drain-grace":1000000,"cold-from":1.0,"warm-after":0,"overload-factor":0,)"
+      R"("overload-for":0})";
+
   Reload() : path_(::testing::TempDir() + "woadridge-reload-" + std::to_string(::getpid()) + ".json") {
     source_ = path_;
   }
@@ -366,8 +370,10 @@
   void write_config(std::uint16_t discovery) {
     write(R"({"name":"n0","listen":"127.0.0.1:9","seed":"7","discovery":"127.0.0.1:)" +
           std::to_string(discovery) +
-          R"(","settings":{"tick":2000,"grades":[{"name":"safe","hard-limit":9000000}],)"
-          R"("limits":{"dial-timeout":250000}}})");
+          R"(","limits":{},"settings":{"tick":2000,"fleet-size":1,"grades":[{"name":"safe",)"
+          R"("effect":"repeatable","target":9000000,"hard-limit":9000000}],"limits":{"dial-timeout":250000,)"
+          R"("max-attempts":1},)" +
+          std::string(kObligations) + "}}");
   }
 
   // The first that this dispatcher hears of any worker: one drains. Healthy tells that the line was read.
@@ -422,23 +428,57 @@
     service_->reload();
     EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
   }
+  EXPECT_EQ(figure("reload_failure"), "5");
+  EXPECT_EQ(figure("reload_success"), "0");
   write_config(discovery_.port());  // the same address: the watch stays
   service_->reload();
+  expect_figure("reload_success", "1");
   watch.write(taken() + chunk(list(2, "true", "ready")));
   serve_through(worker_);
   EXPECT_FALSE(discovery_.has_caller());
 }
 
+TEST_F(Reload, AJobThatIsOpenKeepsItsAttemptsAndALaterOneHasFewer) {
+  start();
+  const auto turned_back = [](Peer& w) {
+    const std::string id = number_after(w.read_message(), "Request-Id: ");
+    w.write(taken() + chunk(line(id, "returned")) + "0\r\n\r\n");
+  };
+  Peer open = client();
+  open.write(job("1"));
+  Peer w = worker_.accept();
+  const std::string first = w.read_message();
+  write_config(discovery_.port());
+  service_->reload();
+  expect_figure("reload_success", "1");
+  w.write(taken() + chunk(line("1", "returned")) + "0\r\n\r\n");
+  serve_one(w);
+  EXPECT_TRUE(open.read_message().starts_with("HTTP/1.1 200 "));
+  Peer later = client();
+  later.write(job("2"));
+  turned_back(w);
+  EXPECT_TRUE(later.read_message().starts_with("HTTP/1.1 503 "));
+  EXPECT_EQ(figure("dispatches"), "3");
+}
+
+TEST_F(Reload, CountsOfAClassThatGoesStayAndAFreshOneBeginsAtNone) {
+  start();
+  EXPECT_TRUE(ask(job("1", "unsafe", -1)).starts_with("HTTP/1.1 400 "));
+  EXPECT_EQ(figure("error.unsafe"), "1");
+  write_config(discovery_.port());
+  service_->reload();
+  expect_figure("reload_success", "1");
+  EXPECT_TRUE(ask(job("2", "unsafe")).starts_with("HTTP/1.1 400 "));
+  EXPECT_EQ(figure("error.unsafe"), "1");
+  EXPECT_EQ(figure("success.safe"), "0");
+}
+
 TEST_F(Reload, ManyInARowAndANewAddressWhereNobodyAnswers) {
   Listener next;
-  std::uint16_t nobody = 0;
-  {
-    Listener gone;
-    nobody = gone.port();
-  }
+  const Vacant nobody;
   start();
   for (int i = 0; i < 5; ++i) {
-    write_config(nobody);
+    write_config(nobody.port());
     service_->reload();
     EXPECT_TRUE(ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200 "));
   }
@@ -471,8 +511,9 @@
   // The shape of a deployment: more classes, what the list's weights mean, what may be done.
   void write_settings(const std::string& grades, const std::string& more, const std::string& limits) {
     write(R"({"name":"n0","listen":"127.0.0.1:9","seed":"7","discovery":"127.0.0.1:)" +
-          std::to_string(discovery_.port()) + R"(","settings":{"tick":2000,"az":"a","grades":[)" + grades +
-          "]," + more +
+          std::to_string(discovery_.port()) +
+          R"(","limits":{},"settings":{"tick":2000,"fleet-size":1,"az":"a",)" + kObligations +
+          R"(,"grades":[)" + grades + "]," + more +
           R"("domain":{"tells-start":true},"limits":{"dial-timeout":5000000,"max-attempts":3,)" + limits +
           R"("cancelling":true}}})");
   }
