--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -342,10 +342,10 @@
   bool cold(const Worker& w) const { return w.info.started > 0 && now - w.info.started < set.warm_after; }
 
   // This dispatcher's part of what a cold worker may be sent in one span, in work. Judged by the warm of
-  // its kind and the slowest warming that the settings allow. After an own restart all is taken as spent.
+  // its kind and the slowest warming that the settings allow. After a restart alone all is taken as spent.
   bool within_cold_budget(Worker& w, double work) {
     if (!cold(w) || set.overload_span <= 0) return true;
-    if (now - born < set.overload_span && w.info.started < born) return false;
+    if (set.cold_parts < 2 && now - born < set.overload_span && w.info.started < born) return false;
     const double used = work + w.sent_since(now - set.overload_span);
     const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
     const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
@@ -358,7 +358,7 @@
   // Guards against cold workers left empty: 1/400 of a budget holds no job. In a large fleet each dispatcher
   // draws for each worker and span whether it may use 1/10; unused ones lapse.
   double cold_part(Worker& w) {
-    const double fleet = std::max(1, set.fleet_size);
+    const double fleet = std::max(1, set.fleet_size) * std::max(1, set.cold_parts);
     if (fleet <= kEvenParts) return 1 / fleet;
     const Micros span = (now - w.info.started) / set.overload_span;
     if (std::exchange(w.drawn_span, span) != span) w.granted = random.uniform() < kGrantsDrawn / fleet;
--- a/src/decide.h
+++ b/src/decide.h
@@ -60,6 +60,9 @@
   Micros progress_every = 0;  // and how far it is; 0: never
   Micros tick = 0;            // the least time between two events
   int max_attempts = 1;
+  // What this dispatcher may send cold workers is cut into so many parts, of which this process has one:
+  // while another process of the same dispatcher serves beside it, or has just before.
+  int cold_parts = 1;
   bool may_cancel = false;
   bool may_probe = false;
   bool may_copy = false;  // two attempts of one request may be out together
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -71,8 +71,8 @@
 
 Settings Engine::module_settings() const {
   Settings settings = config_.settings;
-  settings.tells_taken = true;        // a worker answers 200 when it has taken a job, before it starts
-  settings.fleet_size *= processes_;  // what this one may send cold workers is halved, not what others may
+  settings.tells_taken = true;  // a worker answers 200 when it has taken a job, before it starts
+  settings.cold_parts = cold_parts_;
   return settings;
 }
 
@@ -88,8 +88,8 @@
   if (config_.settings.list_mode == ListMode::pushed) watch();
 }
 
-void Engine::share(int processes, int most_worker_connections) {
-  processes_ = processes;
+void Engine::share(int cold_parts, int most_worker_connections) {
+  cold_parts_ = cold_parts;
   most_worker_connections_ = most_worker_connections;
   change_settings();
 }
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -59,8 +59,8 @@
   // Staff take a worker out, or put it back. Named: a list has told of it, now or before.
   void maintain(const WorkerId& worker, bool out);
   bool has_named(const WorkerId& worker) const { return roster_.ever_named(worker); }
-  // So many processes are this one dispatcher for now: to limits and cold workers they are one.
-  void share(int processes, int most_worker_connections);
+  // What this process may use while another is the same dispatcher: to limits and cold workers they are one.
+  void share(int cold_parts, int most_worker_connections);
 
   bool has_heard_list() const { return heard_list_; }  // from discovery itself, or what changed since
   bool holds_list() const { return !roster_.empty(); }
@@ -151,7 +151,7 @@
   bool giving_ = false;
   bool stopped_ = false;
   bool heard_list_ = false;
-  int processes_ = 1;
+  int cold_parts_ = 1;
   Micros last_now_ = 0;
   std::map<RequestId, Open> requests_;
   std::set<std::string, std::less<>> names_;  // of all these: one name, one request
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -94,8 +94,11 @@
   if (!config_.inherited) return {};
   std::string fault = presence_.open(path_of("serving"));
   if (!fault.empty()) return fault;
-  beside_another_ = presence_.another_is_there();
-  if (beside_another_) share();
+  began_beside_ = beside_another_ = presence_.another_is_there();
+  if (!began_beside_) return {};
+  space_.share(2);
+  intake_.set_budget(budget());
+  share();
   return {};
 }
 
@@ -128,16 +131,28 @@
 
 void Service::look_for_another() {
   const bool there = presence_.another_is_there();
-  if (std::exchange(beside_another_, there) == there) return;
-  spdlog::info("another process of this dispatcher is {}", there ? "here" : "gone");
-  share();
+  if (std::exchange(beside_another_, there) != there) {
+    spdlog::info("another process of this dispatcher is {}", there ? "here" : "gone");
+    if (!there) alone_since_ = engine_.clock().now();
+    space_.share(there ? 2 : 1);
+    intake_.set_budget(budget());
+    share();
+  }
+  if (cold_parts() != cold_parts_) share();
+}
+
+// What the other process sends a cold worker counts with what this one does. Its budget holds over one span:
+// for so long its last sends count after it went, and those before this one began, up to a whole budget then.
+int Service::cold_parts() const {
+  const Micros now = engine_.clock().now();
+  const Micros span = config_.settings.overload_span;
+  if (began_beside_ && now - begun_ < span) return 3;
+  return beside_another_ || (alone_since_ > 0 && now - alone_since_ < span) ? 2 : 1;
 }
 
 void Service::share() {
-  const Budget part = budget();
-  space_.share(beside_another_ ? 2 : 1);
-  intake_.set_budget(part);
-  engine_.share(beside_another_ ? 2 : 1, part.most_workers());
+  cold_parts_ = cold_parts();
+  engine_.share(cold_parts_, budget().most_workers());
 }
 
 // Of the file, at the start and when the other process has written.
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -41,6 +41,7 @@
   void look_for_another();
   void learn_bans();
   void share();
+  int cold_parts() const;
   bool hand_over();
   void await_reload();
   void read_again();
@@ -67,7 +68,10 @@
   Timer standby_timer_;
   Timer round_timer_;
   Micros begun_ = 0;
+  bool began_beside_ = false;
   bool beside_another_ = false;
+  Micros alone_since_ = 0;  // when another process was seen to be gone; 0: never
+  int cold_parts_ = 1;
   bool handed_over_ = false;
   Micros standby_since_ = 0;  // 0: takes clients
   Micros told_to_end_ = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -351,6 +351,30 @@
   EXPECT_EQ(rig.sends(id).size(), 1u);
 }
 
+// Of two processes of one dispatcher: each part is used from the start, and is a part.
+TEST(ColdWorker, BesideAnotherProcessAPartOfTheBudgetIsUsedFromTheStart) {
+  const auto work_in_first_span = [](int parts) {
+    auto settings = plain_settings();
+    settings.cold_parts = parts;
+    Rig rig(settings);
+    auto cold = worker("cold");
+    cold.started = rig.now - 2 * kSecond;
+    rig.workers({cold}, ListKind::remembered);
+    double work = 0;
+    for (int i = 0; i < 900; ++i, rig.now += kMs) {
+      const auto id = rig.ask("safe", 10 * kMs);
+      if (rig.sends(id).empty()) continue;
+      work += 0.01;
+      rig.end(id, Result::ok);
+    }
+    return work;
+  };
+  EXPECT_EQ(work_in_first_span(1), 0);
+  EXPECT_GT(work_in_first_span(3), 0);
+  EXPECT_LE(work_in_first_span(3), 3 * 0.65 / 3);  // factor x the warmth of a worker of 3 s / parts
+  EXPECT_GT(work_in_first_span(2), work_in_first_span(3));
+}
+
 TEST(ColdWorker, OneThatRefusedConnectionsAndRunsAgainIsColdBeforeTheListSaysSo) {
   Rig rig(plain_settings());
   rig.workers(boxes(1));
