--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -49,6 +49,12 @@
   return std::strerror(errno);
 }
 
+void Presence::leave() {
+  struct flock given = region(kServing + place_, 1);
+  given.l_type = F_UNLCK;
+  if (file_ >= 0) ::fcntl(file_, F_OFD_SETLK, &given);
+}
+
 bool Presence::another_is_there() const {
   return locked_by_another(0, kPlaces);
 }
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -19,7 +19,8 @@
   Presence& operator=(const Presence&) = delete;
 
   std::string open(const std::string& path);  // from now on others see this one; an empty text, or why not
-  std::string serve();                        // and from now on that it serves
+  std::string serve();                        // and from now on that it serves ...
+  void leave();                               // ... until now
   bool another_is_there() const;
   bool another_serves() const;
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -35,6 +35,7 @@
 // DAYS.md: a process that starts beside another has 6 s to say yes; discovery's news bind from 2 s after
 // that.
 constexpr Micros kListPatience = 2'000'000;
+constexpr int kNoPart = 1'000'000;  // of a budget for cold workers: no job fits into that
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -133,21 +134,27 @@
   const bool there = presence_.another_is_there();
   if (std::exchange(beside_another_, there) != there) {
     spdlog::info("another process of this dispatcher is {}", there ? "here" : "gone");
-    if (!there) alone_since_ = engine_.clock().now();
     space_.share(there ? 2 : 1);
     intake_.set_budget(budget());
     share();
   }
+  // It shares until it goes, or lets go of the clients: from then on it sends cold workers nothing.
+  const bool serves = there && presence_.another_serves();
+  other_served_ = there && (other_served_ || serves);
+  const bool shares = there && (serves || !other_served_);
+  if (std::exchange(other_shares_, shares) && !shares) alone_since_ = engine_.clock().now();
   if (cold_parts() != cold_parts_) share();
 }
 
 // What the other process sends a cold worker counts with what this one does. Its budget holds over one span:
-// for so long its last sends count after it went, and those before this one began, up to a whole budget then.
+// for so long its last sends count after it stopped, and those before this one began, up to a whole budget
+// then.
 int Service::cold_parts() const {
   const Micros now = engine_.clock().now();
   const Micros span = config_.settings.overload_span;
+  if (handed_over_) return kNoPart;
   if (began_beside_ && now - begun_ < span) return 3;
-  return beside_another_ || (alone_since_ > 0 && now - alone_since_ < span) ? 2 : 1;
+  return other_shares_ || (alone_since_ > 0 && now - alone_since_ < span) ? 2 : 1;
 }
 
 void Service::share() {
@@ -296,6 +303,7 @@
   spdlog::info("told to end: {} requests to be answered", engine_.unanswered());
   intake_.begin_ending();
   handed_over_ = hand_over();
+  if (handed_over_) share();
   engine_.end_at(told_to_end_ + patience());
   go_on_ending();
 }
@@ -310,6 +318,7 @@
   if (!presence_.another_serves()) return false;
   spdlog::info("the other process goes on");
   intake_.leave_listener();
+  presence_.leave();
   return true;
 }
 
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -70,7 +70,9 @@
   Micros begun_ = 0;
   bool began_beside_ = false;
   bool beside_another_ = false;
-  Micros alone_since_ = 0;  // when another process was seen to be gone; 0: never
+  bool other_served_ = false;  // ... and has taken clients,
+  bool other_shares_ = false;  // and may send cold workers something
+  Micros alone_since_ = 0;     // when another process was seen to be gone; 0: never
   int cold_parts_ = 1;
   bool handed_over_ = false;
   Micros standby_since_ = 0;  // 0: takes clients
--- a/tests/net/handover_test.cpp
+++ b/tests/net/handover_test.cpp
@@ -35,6 +35,9 @@
     EXPECT_EQ(other.serve(), "");
     EXPECT_TRUE(one.another_serves());
     EXPECT_FALSE(other.another_serves());
+    other.leave();  // lets go of the clients, and is still there
+    EXPECT_FALSE(one.another_serves());
+    EXPECT_TRUE(one.another_is_there());
   }
   EXPECT_FALSE(one.another_is_there());
   EXPECT_FALSE(one.another_serves());
