The module parts the cold budget between two processes of one dispatcher

It was worked out in the service, where no decision belongs. The engine tells of the other process (Beside), the module decides (pieces). Tests: ColdWorker.TwoProcessesHaveAHalfEach..., AProcessThatEndsBesideOneThatServes...

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -110,6 +110,8 @@
     w.part = std::clamp(w.part * std::clamp(step, kPartStep, 2 - kPartStep), kLeastPart, 1.0);
   }
 
+  void on(const Beside& e) { see_beside(e); }
+
   // Nothing new there until staff put it back. Meanwhile it was restarted, whatever the late list says: cold.
   void on(const Maintain& e) {
     Worker* w = set_banned(e.worker, e.out);
@@ -293,8 +295,7 @@
 
   // ---- hold ----
   Micros run_time(const Request& r) const {  // on a worker of the best kind and after the usual wait there
-    double best = 0;
-    for (const auto& [key, kind] : kinds) best = std::max(best, kind.pace.speed(0));
+    const double best = best_pace();
     return best > 0 ? static_cast<Micros>(r.work / best + kWaitMargin * usual_wait()) : 0;
   }
 
@@ -345,7 +346,8 @@
   // its kind and the slowest warming that the settings allow. After a restart alone all is taken as spent.
   bool within_cold_budget(Worker& w, double work) {
     if (!cold(w) || set.overload_span <= 0) return true;
-    if (set.cold_parts < 2 && now - born < set.overload_span && w.info.started < born) return false;
+    if (!beside.began && now - born < set.overload_span && w.info.started < born) return false;
+    if (ends > 0 && beside.serves) return false;  // the rest is the other process's
     const double used = work + w.sent_since(now - set.overload_span);
     const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
     const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
@@ -355,10 +357,18 @@
     return used <= budget * cold_part(w);
   }
 
+  // Guards against two processes of one dispatcher that each send what it may alone: a half each, until a
+  // span after the other let go. One that begins beside another has a third at first: that may just have sent
+  // all.
+  double pieces() const {
+    if (beside.began && now - born < set.overload_span) return 3;
+    return beside.shares || now - shared < set.overload_span ? 2 : 1;
+  }
+
   // Guards against cold workers left empty: 1/400 of a budget holds no job. In a large fleet each dispatcher
   // draws for each worker and span whether it may use 1/10; unused ones lapse.
   double cold_part(Worker& w) {
-    const double fleet = std::max(1, set.fleet_size) * std::max(1, set.cold_parts);
+    const double fleet = std::max(1, set.fleet_size) * pieces();
     if (fleet <= kEvenParts) return 1 / fleet;
     const Micros span = (now - w.info.started) / set.overload_span;
     if (std::exchange(w.drawn_span, span) != span) w.granted = random.uniform() < kGrantsDrawn / fleet;
@@ -439,8 +449,7 @@
   Worker* pick(const Request& r) {
     Worker* own = keeper(r);
     if (own == nullptr) own = best(r, r.big, false);
-    const auto big = [](auto& q) { return q.first.big; };
-    if (own != nullptr || (!r.big && std::any_of(queues.begin(), queues.end(), big))) return own;
+    if (own != nullptr || (!r.big && big_waits())) return own;
     return best(r, !r.big, r.big && split);
   }
 
@@ -462,9 +471,7 @@
   }
 
   Micros start_limit(const Worker& w) {  // a free slot shows by then: handshakes take up to three round trips
-    const auto least = start_delay.find(w.info.zone);
-    const Micros usual = least == start_delay.end() ? set.connect_timeout / 4 : least->second;
-    return 4 * usual + 2 * set.tick;
+    return 4 * least_delay(w.info.zone, set.connect_timeout / 4) + 2 * set.tick;
   }
 
   void send(Request& r, Worker& w) {
@@ -663,7 +670,7 @@
   // Does a cancel drop waiting work? Copies of a small safe job go to one worker until one waits; that and
   // another are called off, and one more sent. If it starts as the job ends, nobody stood before it.
   bool fit_for_trial(const Request& r, const Worker& w) {
-    if (!set.may_copy || !set.may_cancel || is_settled()) return false;
+    if (!set.may_copy || !set.may_cancel || proof() >= kBelieved || proof() <= kGivenUp) return false;
     if (r.of->effect != Effect::safe || r.attempts.size() != 1 || cold(w)) return false;
     if (trial_copies > kTrialsFree + kTrialsPart * sends) return false;
     return r.work <= mean_run && r.work > 4 * static_cast<double>(start_limit(w));
@@ -700,14 +707,7 @@
     call_off_all_but(r, r.answered ? -1 : 0);
   }
 
-  bool is_settled() const { return proof() >= kBelieved || proof() <= kGivenUp; }
-
-  void on(const PeerTold& e) {
-    if (!set.may_tell || e.peer < 0 || e.peer >= set.fleet_size || e.bytes.size() != 1) return;
-    const int word = static_cast<signed char>(e.bytes[0]);
-    if (std::abs(word) > kSay) return;
-    hear(e.peer, word);
-  }
+  void on(const PeerTold& e) { hear(e, kSay); }
 };
 
 std::size_t Dispatcher::avoided(Micros now) const {
--- a/src/decide.h
+++ b/src/decide.h
@@ -60,9 +60,6 @@
   Micros progress_every = 0;  // and how far it is; 0: never
   Micros tick = 0;            // the least time between two events
   int max_attempts = 1;
-  // What this dispatcher may send cold workers is cut into so many parts, of which this process has one:
-  // while another process of the same dispatcher serves beside it, or has just before.
-  int cold_parts = 1;
   bool may_cancel = false;
   bool may_probe = false;
   bool may_copy = false;  // two attempts of one request may be out together
@@ -103,6 +100,11 @@
 struct Ending {  // to be killed: what is open then must be answered at that time
   Micros at = 0;
 };
+struct Beside {         // another process of this same dispatcher: to the rules they are one
+  bool began = false;   // it was there when this one began
+  bool shares = false;  // it is there and has not let go of the clients: it may send workers something
+  bool serves = false;  // it takes clients
+};
 struct Maintain {  // staff take a worker out, or put it back as one that has just started, whatever the list
                    // says
   WorkerId worker;
@@ -160,7 +162,7 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<Start, Change, Stop, Ending, Maintain, WorkerList, Arrival, Outcome, Taken,
+using Event = std::variant<Start, Change, Stop, Ending, Beside, Maintain, WorkerList, Arrival, Outcome, Taken,
                            Started, Progress, ClientLeft, Probed, PeerTold, TimerFired>;
 
 struct Send {
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -72,7 +72,6 @@
 Settings Engine::module_settings() const {
   Settings settings = config_.settings;
   settings.tells_taken = true;  // a worker answers 200 when it has taken a job, before it starts
-  settings.cold_parts = cold_parts_;
   return settings;
 }
 
@@ -88,10 +87,9 @@
   if (config_.settings.list_mode == ListMode::pushed) watch();
 }
 
-void Engine::share(int cold_parts, int most_worker_connections) {
-  cold_parts_ = cold_parts;
-  most_worker_connections_ = most_worker_connections;
-  change_settings();
+void Engine::limit_connections(int most) {
+  most_worker_connections_ = most;
+  workers_.configure(config_.settings.connect_timeout, config_.network.idle_limit, most);
 }
 
 void Engine::maintain(const WorkerId& worker, bool out) {
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -59,8 +59,8 @@
   // Staff take a worker out, or put it back. Named: a list has told of it, now or before.
   void maintain(const WorkerId& worker, bool out);
   bool has_named(const WorkerId& worker) const { return roster_.ever_named(worker); }
-  // What this process may use while another is the same dispatcher: to limits and cold workers they are one.
-  void share(int cold_parts, int most_worker_connections);
+  void beside(const Beside& another) { give(another); }
+  void limit_connections(int most);  // to workers
 
   bool has_heard_list() const { return heard_list_; }  // from discovery itself, or what changed since
   bool holds_list() const { return !roster_.empty(); }
@@ -151,7 +151,6 @@
   bool giving_ = false;
   bool stopped_ = false;
   bool heard_list_ = false;
-  int cold_parts_ = 1;
   Micros last_now_ = 0;
   std::map<RequestId, Open> requests_;
   std::set<std::string, std::less<>> names_;  // of all these: one name, one request
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -35,7 +35,6 @@
 // DAYS.md: a process that starts beside another has 6 s to say yes; discovery's news bind from 2 s after
 // that.
 constexpr Micros kListPatience = 2'000'000;
-constexpr int kNoPart = 1'000'000;  // of a budget for cold workers: no job fits into that
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 }  // namespace
@@ -95,11 +94,8 @@
   if (!config_.inherited) return {};
   std::string fault = presence_.open(path_of("serving"));
   if (!fault.empty()) return fault;
-  began_beside_ = beside_another_ = presence_.another_is_there();
-  if (!began_beside_) return {};
-  space_.share(2);
-  intake_.set_budget(budget());
-  share();
+  told_beside_.began = presence_.another_is_there();
+  look_for_another();
   return {};
 }
 
@@ -130,36 +126,25 @@
   });
 }
 
+// The other shares what this dispatcher may do until it goes, or lets go of the clients.
 void Service::look_for_another() {
   const bool there = presence_.another_is_there();
+  const bool serves = there && presence_.another_serves();
   if (std::exchange(beside_another_, there) != there) {
     spdlog::info("another process of this dispatcher is {}", there ? "here" : "gone");
-    space_.share(there ? 2 : 1);
-    intake_.set_budget(budget());
-    share();
+    share_limits();
   }
-  // It shares until it goes, or lets go of the clients: from then on it sends cold workers nothing.
-  const bool serves = there && presence_.another_serves();
   other_served_ = there && (other_served_ || serves);
-  const bool shares = there && (serves || !other_served_);
-  if (std::exchange(other_shares_, shares) && !shares) alone_since_ = engine_.clock().now();
-  if (cold_parts() != cold_parts_) share();
+  const Beside now{told_beside_.began, there && (serves || !other_served_), serves};
+  if (now.shares == told_beside_.shares && now.serves == told_beside_.serves) return;
+  told_beside_ = now;
+  engine_.beside(now);
 }
 
-// What the other process sends a cold worker counts with what this one does. Its budget holds over one span:
-// for so long its last sends count after it stopped, and those before this one began, up to a whole budget
-// then.
-int Service::cold_parts() const {
-  const Micros now = engine_.clock().now();
-  const Micros span = config_.settings.overload_span;
-  if (handed_over_) return kNoPart;
-  if (began_beside_ && now - begun_ < span) return 3;
-  return other_shares_ || (alone_since_ > 0 && now - alone_since_ < span) ? 2 : 1;
-}
-
-void Service::share() {
-  cold_parts_ = cold_parts();
-  engine_.share(cold_parts_, budget().most_workers());
+void Service::share_limits() {
+  space_.share(beside_another_ ? 2 : 1);
+  intake_.set_budget(budget());
+  engine_.limit_connections(budget().most_workers());
 }
 
 // Of the file, at the start and when the other process has written.
@@ -303,7 +288,6 @@
   spdlog::info("told to end: {} requests to be answered", engine_.unanswered());
   intake_.begin_ending();
   handed_over_ = hand_over();
-  if (handed_over_) share();
   engine_.end_at(told_to_end_ + patience());
   go_on_ending();
 }
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -40,8 +40,7 @@
   void look_round();
   void look_for_another();
   void learn_bans();
-  void share();
-  int cold_parts() const;
+  void share_limits();
   bool hand_over();
   void await_reload();
   void read_again();
@@ -68,12 +67,9 @@
   Timer standby_timer_;
   Timer round_timer_;
   Micros begun_ = 0;
-  bool began_beside_ = false;
   bool beside_another_ = false;
-  bool other_served_ = false;  // ... and has taken clients,
-  bool other_shares_ = false;  // and may send cold workers something
-  Micros alone_since_ = 0;     // when another process was seen to be gone; 0: never
-  int cold_parts_ = 1;
+  bool other_served_ = false;  // ... and has taken clients
+  Beside told_beside_;
   bool handed_over_ = false;
   Micros standby_since_ = 0;  // 0: takes clients
   Micros told_to_end_ = 0;
--- a/src/records.h
+++ b/src/records.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <compare>
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <memory>
@@ -250,6 +251,8 @@
   Micros now = 0;
   Micros born = 0;
   Micros ends = 0;  // when it will be killed; 0: not told to end
+  Beside beside;
+  Micros shared = 0;  // when another process was last told to share
   std::vector<Action>* out = nullptr;
   std::unordered_map<WorkerId, Worker> workers;  // before the shelves: outlive them
   index::Shelves shelves;     // the same workers, to be found; in this dispatcher's own order, by its seed
@@ -427,6 +430,9 @@
         found.push_back(static_cast<Worker*>(spot.owner));
     return found;
   }
+  void see_beside(const Beside& e) {
+    if (std::exchange(beside, e).shares) shared = now;
+  }
   Worker* set_banned(const WorkerId& id, bool yes) {  // null: no worker that is known, or no news
     if (yes ? !banned.insert(id).second : banned.erase(id) == 0) return nullptr;
     const auto found = workers.find(id);
@@ -451,7 +457,23 @@
     return keys;
   }
   int proof() const { return evidence + told_sum; }
-  void hear(int peer, int word) { told_sum += word - std::exchange(told[peer], word); }
+  void hear(const PeerTold& e, int most) {  // a peer's last word; what can be none changes nothing
+    if (!set.may_tell || e.peer < 0 || e.peer >= set.fleet_size || e.bytes.size() != 1) return;
+    const int word = static_cast<signed char>(e.bytes[0]);
+    if (std::abs(word) <= most) told_sum += word - std::exchange(told[e.peer], word);
+  }
+  double best_pace() const {  // of all kinds; 0: none has been seen to finish a job
+    double best = 0;
+    for (const auto& [key, kind] : kinds) best = std::max(best, kind.pace.speed(0));
+    return best;
+  }
+  bool big_waits() const {
+    return std::any_of(queues.begin(), queues.end(), [](auto& q) { return q.first.big; });
+  }
+  Micros least_delay(const std::string& zone, Micros unknown) const {
+    const auto least = start_delay.find(zone);
+    return least == start_delay.end() ? unknown : least->second;
+  }
   void forget(Worker& w) {
     shelves.forget(w);
     if (w.big_lane) bigs[w.big_lane_at] = nullptr;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -353,10 +353,9 @@
 
 // Of two processes of one dispatcher: each part is used from the start, and is a part.
 TEST(ColdWorker, BesideAnotherProcessAPartOfTheBudgetIsUsedFromTheStart) {
-  const auto work_in_first_span = [](int parts) {
-    auto settings = plain_settings();
-    settings.cold_parts = parts;
-    Rig rig(settings);
+  const auto work_in_first_span = [](const Beside& another) {
+    Rig rig(plain_settings());
+    rig.give(another);
     auto cold = worker("cold");
     cold.started = rig.now - 2 * kSecond;
     rig.workers({cold}, ListKind::remembered);
@@ -369,10 +368,46 @@
     }
     return work;
   };
-  EXPECT_EQ(work_in_first_span(1), 0);
-  EXPECT_GT(work_in_first_span(3), 0);
-  EXPECT_LE(work_in_first_span(3), 3 * 0.65 / 3);  // factor x the warmth of a worker of 3 s / parts
-  EXPECT_GT(work_in_first_span(2), work_in_first_span(3));
+  EXPECT_EQ(work_in_first_span({}), 0);
+  EXPECT_GT(work_in_first_span({true, true, true}), 0);
+  EXPECT_LE(work_in_first_span({true, true, true}), 3 * 0.65 / 3);  // factor x a worker's warmth at 3 s / 3
+}
+
+TEST(ColdWorker, TwoProcessesHaveAHalfEachUntilASpanAfterOneLetGo) {
+  const auto work_in_a_span = [](const std::vector<Beside>& told, Micros since) {
+    Rig rig(plain_settings());
+    rig.now += 10 * kSecond;
+    for (const auto& another : told) rig.give(another);
+    rig.now += since;
+    auto cold = worker("cold");
+    cold.started = rig.now;
+    rig.workers({cold});
+    double work = 0;
+    for (int i = 0; i < 900; ++i, rig.now += kMs) {
+      const auto id = rig.ask("safe", 10 * kMs);
+      if (rig.sends(id).empty()) continue;
+      work += 0.01;
+      rig.end(id, Result::ok);
+    }
+    return work;
+  };
+  const Beside starting{false, true, false}, serving{false, true, true}, let_go{false, false, false};
+  const double alone = work_in_a_span({}, 0);
+  for (const auto& told : {std::vector{starting}, std::vector{starting, serving}})
+    EXPECT_LE(work_in_a_span(told, 0), alone / 2);
+  EXPECT_LE(work_in_a_span({serving, let_go}, 0), alone / 2 + 0.01);
+  EXPECT_EQ(work_in_a_span({serving, let_go}, kSecond), alone);
+}
+
+TEST(ColdWorker, AProcessThatEndsBesideOneThatServesSendsThemNothing) {
+  Rig rig(plain_settings());
+  rig.now += 10 * kSecond;
+  auto cold = worker("cold");
+  cold.started = rig.now;
+  rig.workers({cold});
+  rig.give(Beside{false, true, true});
+  rig.give(Ending{rig.now + 3 * kSecond});
+  EXPECT_TRUE(rig.sends(rig.ask("safe", 10 * kMs)).empty());
 }
 
 TEST(ColdWorker, OneThatRefusedConnectionsAndRunsAgainIsColdBeforeTheListSaysSo) {
