--- a/src/records.h
+++ b/src/records.h
@@ -252,7 +252,7 @@
   Micros born = 0;
   Micros ends = 0;  // when it will be killed; 0: not told to end
   Beside beside;
-  Micros shared = 0;  // when another process was last told to share
+  Micros shared = INT64_MIN / 2;  // when another process was last told to share; long before any clock begins
   std::vector<Action>* out = nullptr;
   std::unordered_map<WorkerId, Worker> workers;  // before the shelves: outlive them
   index::Shelves shelves;     // the same workers, to be found; in this dispatcher's own order, by its seed
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -374,8 +374,8 @@
 }
 
 TEST(ColdWorker, TwoProcessesHaveAHalfEachUntilASpanAfterOneLetGo) {
-  const auto work_in_a_span = [](const std::vector<Beside>& told, Micros since) {
-    Rig rig(plain_settings());
+  const auto work_in_a_span = [](const std::vector<Beside>& told, Micros since, Micros born = kSecond) {
+    Rig rig(plain_settings(), born);
     rig.now += 10 * kSecond;
     for (const auto& another : told) rig.give(another);
     rig.now += since;
@@ -397,6 +397,7 @@
     EXPECT_LE(work_in_a_span(told, 0), alone / 2);
   EXPECT_LE(work_in_a_span({serving, let_go}, 0), alone / 2 + 0.01);
   EXPECT_EQ(work_in_a_span({serving, let_go}, kSecond), alone);
+  EXPECT_EQ(work_in_a_span({}, 0, -10 * kSecond), alone);  // a clock that begins at 0
 }
 
 TEST(ColdWorker, AProcessThatEndsBesideOneThatServesSendsThemNothing) {
