A job whose client speaks out of turn counts as an error; ops waits for the next start

Found in review: it was answered 400 and counted nowhere. Without an operators' address and an inherited listener nothing is looked for in rounds. Test Figures.AJobWhoseClientSpeaksOutOfTurnIsAnError, seen failing without.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -143,7 +143,7 @@
 // hides behind it: what is out is not what the client meant, and nobody gets an answer from it.
 void ClientConnection::out_of_turn() {
   if (const RequestId job = std::exchange(job_, 0); job != 0) intake_.engine_.left(job);
-  turn_away(400);
+  turn_away(400, {}, reader_.header("Request-Class"));
 }
 
 void ClientConnection::take_request() {
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -72,7 +72,7 @@
   if (std::string fault = open_admin(); !fault.empty()) return fault;
   if (may_listen())
     if (std::string fault = listen(); !fault.empty()) return fault;
-  look_round();
+  if (config_.ops || config_.inherited) look_round();  // else nobody else writes, and nobody else is there
   signals_.async_wait([this](Fault cancelled, int) {
     if (!cancelled) end();
   });
@@ -256,10 +256,11 @@
     engine_.move_discovery(fresh.discovery);
   }
   take_settings(fresh);
-  const bool rest_stays = fresh.listen == config_.listen && fresh.name == config_.name &&
-                          fresh.sockets == config_.sockets && fresh.memory_mb == config_.memory_mb &&
+  const bool rest_stays = fresh.listen == config_.listen && fresh.ops == config_.ops &&
+                          fresh.name == config_.name && fresh.sockets == config_.sockets &&
+                          fresh.memory_mb == config_.memory_mb &&
                           fresh.settings.seed == config_.settings.seed;
-  if (!rest_stays) spdlog::warn("name, seed, listen or limits differ: they are taken at the next start");
+  if (!rest_stays) spdlog::warn("name, seed, listen, ops or limits differ: they are taken at the next start");
 }
 
 // Name, seed, listen and limits are the process's own; everything under settings can change while it serves.
--- a/tests/net/metrics_test.cpp
+++ b/tests/net/metrics_test.cpp
@@ -111,6 +111,18 @@
   EXPECT_EQ(figure("concurrent"), "0");
 }
 
+TEST_F(Figures, AJobWhoseClientSpeaksOutOfTurnIsAnError) {
+  start();
+  Peer peer = client();
+  peer.write(job("1"));
+  Peer w = worker_.accept();
+  w.read_message();
+  peer.write("more");
+  EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 400 "));
+  EXPECT_EQ(figure("error.safe"), "1");
+  EXPECT_EQ(figure("concurrent"), "0");
+}
+
 TEST_F(Figures, AJudgedWorkerIsDisabledAndStaysATarget) {
   worker_.close();  // nobody there: the attempt is refused, and again
   start();
