--- a/tests/net_rig.h
+++ b/tests/net_rig.h
@@ -191,6 +191,8 @@
 class Vacant {  // a port where nobody listens, held so that no other test gets it
  public:
   Vacant() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    const int yes = 1;  // a process that is started there may bind it beside this
+    ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
