--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -351,6 +351,18 @@
   EXPECT_EQ(rig.sends(id).size(), 1u);
 }
 
+// In seconds, to one worker that is asked for more than it may be sent.
+double work_sent_in_900_ms(Rig& rig) {
+  double work = 0;
+  for (int i = 0; i < 900; ++i, rig.now += kMs) {
+    const auto id = rig.ask("safe", 10 * kMs);
+    if (rig.sends(id).empty()) continue;
+    work += 0.01;
+    rig.end(id, Result::ok);
+  }
+  return work;
+}
+
 // Of two processes of one dispatcher: each part is used from the start, and is a part.
 TEST(ColdWorker, BesideAnotherProcessAPartOfTheBudgetIsUsedFromTheStart) {
   const auto work_in_first_span = [](const Beside& another) {
@@ -359,14 +371,7 @@
     auto cold = worker("cold");
     cold.started = rig.now - 2 * kSecond;
     rig.workers({cold}, ListKind::remembered);
-    double work = 0;
-    for (int i = 0; i < 900; ++i, rig.now += kMs) {
-      const auto id = rig.ask("safe", 10 * kMs);
-      if (rig.sends(id).empty()) continue;
-      work += 0.01;
-      rig.end(id, Result::ok);
-    }
-    return work;
+    return work_sent_in_900_ms(rig);
   };
   EXPECT_EQ(work_in_first_span({}), 0);
   EXPECT_GT(work_in_first_span({true, true, true}), 0);
@@ -382,14 +387,7 @@
     auto cold = worker("cold");
     cold.started = rig.now;
     rig.workers({cold});
-    double work = 0;
-    for (int i = 0; i < 900; ++i, rig.now += kMs) {
-      const auto id = rig.ask("safe", 10 * kMs);
-      if (rig.sends(id).empty()) continue;
-      work += 0.01;
-      rig.end(id, Result::ok);
-    }
-    return work;
+    return work_sent_in_900_ms(rig);
   };
   const Beside starting{false, true, false}, serving{false, true, true}, let_go{false, false, false};
   const double alone = work_in_a_span({}, 0);
--- a/tests/net/handover_test.cpp
+++ b/tests/net/handover_test.cpp
@@ -145,9 +145,7 @@
 TEST_F(Upgrade, TheOldOneAnswersWhatItHasAndNothingThatWaitsIsLost) {
   start_first();
   Peer busy = client();
-  busy.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(busy, job("1"));
   Peer idle = client();
   idle.write("GET /_health HTTP/1.1\r\n\r\n");
   idle.read_message();
--- a/tests/net/maintenance_test.cpp
+++ b/tests/net/maintenance_test.cpp
@@ -161,9 +161,7 @@
   config_.known.entries.erase(config_.known.entries.begin() + 1);
   start();
   Peer peer = client();
-  peer.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(peer, job("1"));
   EXPECT_TRUE(enter("w"));
   w.write(taken() + chunk(line("1", "started")) + chunk(done("1", "r")) + "0\r\n\r\n");
   EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 200 "));
--- a/tests/net/metrics_test.cpp
+++ b/tests/net/metrics_test.cpp
@@ -37,9 +37,7 @@
 TEST_F(Figures, AJobServedCountsOnceAndIsOpenUntilThen) {
   start();
   Peer peer = client();
-  peer.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(peer, job("1"));
   expect_figure("concurrent", "1");
   expect_figure("dispatches", "1");
   EXPECT_EQ(figure("success.safe"), "0");
@@ -54,9 +52,7 @@
 TEST_F(Figures, AnAttemptThatIsSentAgainCountsTwiceAndItsJobOnce) {
   start();
   Peer peer = client();
-  peer.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(peer, job("1"));
   w.write(taken() + chunk(line("1", "returned")) + "0\r\n\r\n");
   serve_one(w);
   peer.read_message();
@@ -82,9 +78,7 @@
 TEST_F(Figures, WhatAWorkerRejectsIsAnError) {
   start();
   Peer peer = client();
-  peer.write(job("1", "unsafe"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(peer, job("1", "unsafe"));
   w.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
   EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 500 "));
   expect_figure("error.unsafe", "1");
@@ -93,9 +87,7 @@
 TEST_F(Figures, AJobWhoseClientLeavesIsNoLongerOpen) {
   start();
   Peer peer = client();
-  peer.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(peer, job("1"));
   expect_figure("concurrent", "1");
   peer.close();
   expect_figure("concurrent", "0");
@@ -114,9 +106,7 @@
 TEST_F(Figures, AJobWhoseClientSpeaksOutOfTurnIsAnError) {
   start();
   Peer peer = client();
-  peer.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(peer, job("1"));
   peer.write("more");
   EXPECT_TRUE(peer.read_message().starts_with("HTTP/1.1 400 "));
   EXPECT_EQ(figure("error.safe"), "1");
--- a/tests/net/standby_test.cpp
+++ b/tests/net/standby_test.cpp
@@ -35,9 +35,7 @@
 TEST_F(Standby, WhatIsOpenIsServedAndItsConnectionClosed) {
   start();
   Peer busy = client();
-  busy.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(busy, job("1"));
   call("POST", "/standby");
   w.write(taken() + chunk(line("1", "started")) + chunk(done("1", "r")) + "0\r\n\r\n");
   const std::string answer = busy.read_message();
@@ -100,9 +98,7 @@
 TEST_F(Standby, AfterTheEndHasBegunThereIsNoWayBack) {
   start();
   Peer busy = client();
-  busy.write(job("1"));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(busy, job("1"));
   call("POST", "/standby");
   end();
   EXPECT_TRUE(is_no(call("POST", "/active")));
--- a/tests/service_rig.h
+++ b/tests/service_rig.h
@@ -89,6 +89,14 @@
     return peer.read_message();
   }
 
+  // Hands the job in; the connection on which it has come to the worker.
+  Peer at_worker(Peer& client, const std::string& job) {
+    client.write(job);
+    Peer w = worker_.accept();
+    w.read_message();
+    return w;
+  }
+
   static void serve_one(Peer& peer, const std::string& result = "r") {
     const std::string id = number_after(peer.read_message(), "Request-Id: ");
     peer.write(taken() + chunk(line(id, "started")) + chunk(done(id, result)) + "0\r\n\r\n");
