--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -486,8 +486,7 @@
     if (s.tenants.back().name.empty()) in.wrong_at("name", "expected the tenant's name");
   });
   if (s.classes.empty())
-    s.classes.emplace_back().rules = {"job",     Effect::safe, Scope::all, 0,  200'000, 2,
-                                      5'000'000, 0.5,          1,          "", false};
+    s.classes.emplace_back().rules = {"job", Effect::safe, Scope::all, 0, 200'000, 2, 5'000'000, 0.5, 1, ""};
   if (s.tenants.empty()) s.tenants.push_back({"all", 1});
   r.table("traffic", [&](Reader& in) { read_traffic(in, file, s); });
   r.tables("troubles", [&](Reader& in) { read_trouble(in, s); });
