One reading of the file of bans; a dead member and a strayed comment are gone

Read again after landing: Bans::read and put each opened and parsed the file; Intake kept a strand that only its listener uses now, and the comment on the backlog stood above set_budget.

--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -12,8 +12,7 @@
 }  // namespace
 
 Intake::Intake(Strand strand, Engine& engine, const Budget& budget, BufferSpace& space)
-    : strand_(strand),
-      engine_(engine),
+    : engine_(engine),
       space_(space),
       listener_(
           strand, [this] { return make_room(); }, [this](Socket socket) { accepted(std::move(socket)); }),
@@ -83,7 +82,6 @@
     if (connection->idle() && connection->since() <= latest && !connection->has_unread()) connection->close();
 }
 
-// What the system has accepted counts as ours: it is taken in before the listener closes.
 void Intake::set_budget(const Budget& budget) {
   most_ = static_cast<std::size_t>(budget.most_clients());
   turnstile_ = static_cast<std::size_t>(budget.turnstile());
@@ -96,6 +94,7 @@
   listener_.close();
 }
 
+// What the system has accepted counts as ours: it is taken in before the listener closes.
 void Intake::stop_listening() {
   listener_.take_rest();
   listener_.close();
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -46,7 +46,6 @@
   void sweep();
   bool healthy() const { return listener_.is_open() && !ending_ && !standby_ && engine_.holds_list(); }
 
-  Strand strand_;
   Engine& engine_;
   BufferSpace& space_;
   std::array<char, 16 * 1024> aside_;  // where all connections read what nobody will look at
--- a/src/net/maintenance.cpp
+++ b/src/net/maintenance.cpp
@@ -6,7 +6,6 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <fstream>
@@ -59,6 +58,11 @@
   return std::nullopt;
 }
 
+std::optional<std::set<WorkerId>> ids_at(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return ids_in({std::istreambuf_iterator<char>(file), {}});
+}
+
 std::string text_of(const std::set<WorkerId>& ids) {
   std::string text = std::string(kFirstLine) + "\n";
   for (const auto& id : ids) text += percent_encoded(id) + "\n";
@@ -87,9 +91,7 @@
   if (now == read_) return {};
   read_ = now;
   if (now == Stamp{}) return {};  // no file: nobody was ever taken out, or it was removed under us
-  std::ifstream file(path_, std::ios::binary);
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
-  const auto ids = ids_in(text);
+  const auto ids = ids_at(path_);
   if (!ids) {
     spdlog::error("{} is spoilt: {} bans stay as they were", path_, out_.size());
     return {};
@@ -108,10 +110,7 @@
   if (out) out_.insert(worker);
   const File lock(path_ + ".lock", O_RDWR | O_CREAT);
   if (!lock.is_open() || ::flock(lock.fd(), LOCK_EX) != 0) return why(path_ + ".lock");
-  Ids ids = out_;
-  if (std::ifstream file(path_, std::ios::binary); file.is_open()) {
-    if (const auto there = ids_in(std::string{std::istreambuf_iterator<char>(file), {}})) ids = *there;
-  }
+  Ids ids = ids_at(path_).value_or(out_);
   if (out) ids.insert(worker);
   else ids.erase(worker);
   std::string fault = write(ids);
