Tests of maintenance and of two processes share one serving peer

Maintenance::served_by was a second copy of the server of the upgrade test: Server and serve_counted are in the rig now. No assertion changed.

--- a/tests/net/maintenance_test.cpp
+++ b/tests/net/maintenance_test.cpp
@@ -99,32 +99,12 @@
 
   // So many jobs, each served by whoever got it; how many came to the worker that listens there.
   int served_by(Listener& listener, int jobs) {
-    std::atomic<bool> over = false;
-    std::atomic<int> mine = 0;
-    const auto serve = [&over](Listener& at, std::atomic<int>* count) {
-      std::vector<std::thread> peers;
-      while (!over) {
-        if (!at.has_caller(5)) continue;
-        peers.emplace_back([peer = at.accept(), count, &over]() mutable {
-          while (!over) {
-            if (!peer.has_news(5)) continue;
-            const std::string id = number_after(peer.read_message(), "Request-Id: ");
-            if (id.empty()) return;
-            if (count != nullptr) ++*count;
-            peer.write(taken() + chunk(line(id, "started")) + chunk(done(id, "r")) + "0\r\n\r\n");
-          }
-        });
-      }
-      for (auto& peer : peers) peer.join();
-    };
-    Listener& rest = &listener == &worker_ ? other_ : worker_;
-    std::thread one([&] { serve(listener, &mine); });
-    std::thread two([&] { serve(rest, nullptr); });
+    std::atomic<int> mine = 0, others = 0;
+    const Server one(listener, [&](Peer& peer) { return serve_counted(peer, mine); });
+    const Server two(&listener == &worker_ ? other_ : worker_,
+                     [&](Peer& peer) { return serve_counted(peer, others); });
     for (int i = 0; i < jobs; ++i)
       EXPECT_TRUE(ask(job(std::to_string(++last_))).starts_with("HTTP/1.1 200 ")) << i;
-    over = true;
-    one.join();
-    two.join();
     return mine;
   }
 
--- a/tests/net/metrics_test.cpp
+++ b/tests/net/metrics_test.cpp
@@ -63,9 +63,7 @@
 TEST_F(Figures, ATimeOutIsARefusalWhereARetryIsHarmlessAndAnErrorElsewhere) {
   start();
   Peer first = client();
-  first.write(job("1", "safe", 60));
-  Peer w = worker_.accept();
-  w.read_message();
+  Peer w = at_worker(first, job("1", "safe", 60));
   EXPECT_TRUE(first.read_message().starts_with("HTTP/1.1 503 "));
   expect_figure("overload.safe", "1");
   Peer second = client();
--- a/tests/net/upgrade_test.cpp
+++ b/tests/net/upgrade_test.cpp
@@ -54,48 +54,10 @@
   pid_t pid_ = -1;
 };
 
-// Answers each connection in a thread of its own, for as long as it is there.
-class Server {
- public:
-  explicit Server(std::function<bool(Peer&)> answer)
-      : answer_(std::move(answer)), thread_([this] { run(); }) {}
-  ~Server() {
-    over_ = true;
-    thread_.join();
-    for (auto& peer : peers_) peer.join();
-  }
-  Listener& listener() { return listener_; }
-
- private:
-  void run() {
-    while (!over_) {
-      if (!listener_.has_caller(5)) continue;
-      peers_.emplace_back([this, peer = listener_.accept()]() mutable {
-        while (!over_)
-          if (peer.has_news(5) && !answer_(peer)) return;
-      });
-    }
-  }
-
-  Listener listener_;
-  std::atomic<bool> over_ = false;
-  std::function<bool(Peer&)> answer_;
-  std::vector<std::thread> peers_;
-  std::thread thread_;
-};
-
 class UpgradeOfProcesses : public ::testing::Test {
  protected:
   ~UpgradeOfProcesses() override { stop_clients(); }
 
-  static bool serve(Peer& peer, std::atomic<int>& count) {
-    const std::string id = number_after(peer.read_message(), "Request-Id: ");
-    if (id.empty()) return false;
-    ++count;
-    peer.write(taken() + chunk(line(id, "started")) + chunk(done(id, "r")) + "0\r\n\r\n");
-    return true;
-  }
-
   bool tell_list(Peer& peer) {
     if (peer.read_until("\r\n\r\n").empty()) return false;
     const auto entry = [](const std::string& name, Server& at) {
@@ -189,8 +151,8 @@
   std::atomic<int> at_v_ = 0, at_w_ = 0, good_ = 0, bad_ = 0;
   std::atomic<bool> over_ = false;
   Listener clients_{256};
-  Server v_{[this](Peer& peer) { return serve(peer, at_v_); }};
-  Server w_{[this](Peer& peer) { return serve(peer, at_w_); }};
+  Server v_{[this](Peer& peer) { return serve_counted(peer, at_v_); }};
+  Server w_{[this](Peer& peer) { return serve_counted(peer, at_w_); }};
   Server discovery_{[this](Peer& peer) { return tell_list(peer); }};
   std::vector<std::thread> threads_;
 };
--- a/tests/net_rig.h
+++ b/tests/net_rig.h
@@ -15,11 +15,13 @@
 #include <cstring>
 #include <filesystem>
 #include <functional>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace woadridge::net::test {
 
@@ -232,4 +234,50 @@
   return line(id, "done", ",\"result\":\"" + std::string(result) + "\"");
 }
 
+// Answers each connection in a thread of its own, for as long as it is there. An answer that returns false
+// ends its connection.
+class Server {
+ public:
+  explicit Server(std::function<bool(Peer&)> answer) : Server(nullptr, std::move(answer)) {}
+  Server(Listener& at, std::function<bool(Peer&)> answer) : Server(&at, std::move(answer)) {}
+  ~Server() {
+    over_ = true;
+    thread_.join();
+    for (auto& peer : peers_) peer.join();
+  }
+  Listener& listener() { return listener_; }
+
+ private:
+  Server(Listener* at, std::function<bool(Peer&)> answer)
+      : own_(at == nullptr ? std::make_unique<Listener>() : nullptr),
+        listener_(at == nullptr ? *own_ : *at),
+        answer_(std::move(answer)),
+        thread_([this] { run(); }) {}
+  void run() {
+    while (!over_) {
+      if (!listener_.has_caller(5)) continue;
+      peers_.emplace_back([this, peer = listener_.accept()]() mutable {
+        while (!over_)
+          if (peer.has_news(5) && !answer_(peer)) return;
+      });
+    }
+  }
+
+  std::unique_ptr<Listener> own_;
+  Listener& listener_;
+  std::atomic<bool> over_ = false;
+  std::function<bool(Peer&)> answer_;
+  std::vector<std::thread> peers_;
+  std::thread thread_;
+};
+
+// A worker's answer to one job, and its count. False: the connection has ended.
+inline bool serve_counted(Peer& peer, std::atomic<int>& count) {
+  const std::string id = number_after(peer.read_message(), "Request-Id: ");
+  if (id.empty()) return false;
+  ++count;
+  peer.write(taken() + chunk(line(id, "started")) + chunk(done(id, "r")) + "0\r\n\r\n");
+  return true;
+}
+
 }  // namespace woadridge::net::test
