After a call to discovery that failed slowly the next one waits at least as long

From 16 to 30 s 100 to 355 attempts a second go to workers that are gone (3,288 in all, 42 workers), and the new workers are known to a third.

Each attempt at a dead worker fails in 1 ms, so these cost little by themselves.

At fault: on(WorkerList) in src/decide.cpp, first wait 0.4 s however long the call had taken. Now that time is the least first wait.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -82,9 +82,11 @@
     alarm(now + static_cast<Micros>(static_cast<double>(wanted) * (1 + random.uniform())), Why::ask);
   }
 
-  // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
+  // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter. Guards
+  // against calls that were waited for in vain: discovery works them off all the same, before those to come.
   void on(const WorkerList& news) {
-    if (news.kind == ListKind::failed) return ask_later(kAskAgain << std::min(failed_asks++, kDoublings));
+    if (news.kind == ListKind::failed)
+      return ask_later(std::max(kAskAgain, now - asked) << std::min(failed_asks++, kDoublings));
     if (news.kind != ListKind::remembered) failed_asks = 0;
     ++lists;
     for (auto info : news.workers) {
@@ -601,10 +603,7 @@
   void on(const TimerFired& e) {
     const Alarm a = take_alarm(e.token).value_or(Alarm{Why::none});
     if (a.why == Why::pump) pump_due = stuck = false;
-    if (a.why == Why::ask) {
-      asking = false;
-      out->push_back(Subscribe{});
-    }
+    if (a.why == Why::ask) subscribe();
     auto [r, tried] = attempt(a.id, a.attempt);
     if (r != nullptr && a.why == Why::verdict && trial.id == r->id) return end_trial(*r, kRunsOn);
     if (r == nullptr || r->answered) return;
--- a/src/records.h
+++ b/src/records.h
@@ -303,6 +303,7 @@
   double sends = 0;
   double trial_copies = 0;
   int failed_asks = 0;
+  Micros asked = 0;  // when the list was last asked for
   Micros big_full_at = 0;
   bool asking = false;
   bool pump_due = false;
@@ -361,6 +362,11 @@
     one.recent.see(now, one.recent.left(now, span) + 1);
     tenants_recent.see(now, tenants_recent.left(now, span) + 1);
   }
+  void subscribe() {
+    asking = false;
+    asked = now;
+    out->push_back(Subscribe{});
+  }
   void see_own_start(double span) { starts.see(now, starts.left(now, span) + 1); }
   double start_rate(double span) const {  // own starts a second, over the last span or since this began
     const double known = std::clamp(static_cast<double>(now - born), std::min(1e6, span), span);
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -925,6 +925,25 @@
   EXPECT_EQ(rig.sends(id).size(), 1u);  // the old list stays in force
 }
 
+// Guards against an overbooked discovery that works off calls nobody waits for any more: the next waits
+// longer.
+TEST(List, AfterACallThatFailedSlowlyTheNextWaitsAtLeastAsLong) {
+  for (const Micros in_vain : {10 * kMs, 2 * kSecond}) {
+    auto settings = plain_settings();
+    settings.list_mode = ListMode::asked;
+    Rig rig(settings);
+    rig.workers(boxes(2), ListKind::remembered);
+    rig.pass(100 * kMs);
+    ASSERT_EQ(rig.count<Subscribe>(), 1);
+    rig.pass(in_vain);
+    rig.give(WorkerList{ListKind::failed, {}});
+    rig.pass(kSecond);
+    EXPECT_EQ(rig.count<Subscribe>(), in_vain < kSecond ? 2 : 1);
+    rig.pass(4 * kSecond);
+    EXPECT_EQ(rig.count<Subscribe>(), 2);
+  }
+}
+
 TEST(List, PushedListsAreNeverAskedFor) {
   Rig rig(plain_settings());
   rig.workers(boxes(2));
