Cold workers are no busier for their zone, and get more once a job starts at once

Checked: grants allow more (a job of 0.1 s has eleven of them to go to), lists are there; but usual_others() in src/decide.cpp takes an unseen worker for as busy as its zone, which is full: 0.9 of its slots, so that room() is below a slot.

Both tests fail without their mend.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -34,7 +34,8 @@
 constexpr double kShort = 0.75;      // share of late starts in every zone at which the fleet is short
 constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
 constexpr double kEvenParts = 20;    // dispatchers that have even parts of a cold budget; of more, one with
-constexpr double kGrants = 0.8;  // ... 1/n of the traffic may have 0.8/n over its draw unstarted there ...
+constexpr double kGrants = 0.6;      // ... 1/n of the traffic may have 0.6/n over its draw unstarted, ...
+constexpr double kProvenGrants = 2.4;    // ... and so much once an own job there has started at once ...
 constexpr double kMostGrant = 0.25;      // ... and at most this: docs/design.md has the bound
 constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
 constexpr int kDoublings = 4;            // ... so often
@@ -146,8 +147,8 @@
     return usual_others(w) + w.others.left(now, kOthersJobs * mean_run);
   }
 
-  double usual_others(const Worker& w) const {
-    return w.of->slots * w.zone_late->left(now, kOthersJobs * mean_run);
+  double usual_others(const Worker& w) const {  // cold ones are no busier than they are let
+    return cold(w) ? 0 : w.of->slots * w.zone_late->left(now, kOthersJobs * mean_run);
   }
 
   void see_others(Worker& w, double slots) { w.others.see(now, slots - usual_others(w)); }
@@ -175,7 +176,7 @@
     Worker& w = *a->worker;
     a->start(now);
     count_start(w, *r, *a);
-    w.start_cold(a->sent);
+    w.see_start(a->sent, !a->late_start);
     see_own_start(kShareSpan);
     if (trial.id != r->id) see_wait(*a);
     see_delay(w.info.zone, now - a->sent);
@@ -374,7 +375,7 @@
   double granted(const Worker& w) const {
     const double even = 1.0 / std::max(1, set.fleet_size);
     const double part = tenants_quota > 0 ? start_rate(kShareSpan) / tenants_quota : even;
-    return w.own_draw > 0 ? std::min(kMostGrant, kGrants * part / w.own_draw) : 0;
+    return std::min(kMostGrant, (w.prompt ? kProvenGrants : kGrants) * part / w.own_draw);
   }
 
   bool may_take(Worker& w, const Request& r) { return fits(w, r) && within_cold_budget(w, r.work); }
--- a/src/records.h
+++ b/src/records.h
@@ -102,7 +102,8 @@
   int strikes = 0;               // judgements not yet made good by an answer
   bool banned = false;           // taken out by staff
   bool unreachable = false;      // refused a connection or broke one since its last sign of life
-  double own_draw = 0;           // from 0 to 1, by the dispatcher's seed: the same after a restart
+  bool prompt = false;           // its last own start was in time
+  double own_draw = 0;           // above 0, below 1, by the dispatcher's seed: the same after a restart
   struct ColdSend {
     Micros at = 0;
     double work = 0;
@@ -118,7 +119,8 @@
       if (!unstarted_only || !s.started) all += s.work;
     return all;
   }
-  void start_cold(Micros sent_at) {
+  void see_start(Micros sent_at, bool in_time) {
+    prompt = in_time;
     const auto one =
         std::find_if(sent.begin(), sent.end(), [sent_at](auto& s) { return s.at == sent_at && !s.started; });
     if (one != sent.end()) one->started = true;
@@ -132,6 +134,7 @@
     strikes = 0;
     suspect = false;
     unreachable = false;
+    prompt = false;
   }
 };
 
@@ -390,7 +393,7 @@
     if (fresh) {
       w.name = at->first;
       w.own_hash = id_hash(info.id, set.seed);
-      w.own_draw = static_cast<double>(w.own_hash >> 11) * 0x1.0p-53;
+      w.own_draw = static_cast<double>((w.own_hash >> 11) | 1) * 0x1.0p-53;
       w.lane_hash = id_hash(info.id, 0);
       w.banned = banned.contains(info.id);
     }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -29,6 +29,19 @@
   for (int i = 0; i < 40; ++i) rig.serve(rig.ask("safe", hint), hint);
 }
 
+// Jobs that each wait a second: the usual wait is far beyond any aim.
+void learn_long_waits(Rig& rig, int jobs = 30) {
+  for (int i = 0; i < jobs; ++i) {
+    const auto id = rig.ask("unsafe");
+    if (rig.sends(id).empty()) continue;
+    rig.pass(kSecond);
+    rig.give(Started{id, 0});
+    rig.now += 100 * kMs;
+    rig.end(id, Result::ok);
+    rig.pass(400 * kMs);
+  }
+}
+
 // The workers that take big jobs first: sent there while all are idle.
 WorkerId big_lane_of(Rig& rig) {
   const auto id = rig.ask("safe", 900 * kMs);
@@ -450,6 +463,47 @@
   EXPECT_LT(little, much / 4);
 }
 
+// Guards against new workers left empty beside full ones: cold work is rationed, so they are no busier for
+// it.
+TEST(ColdWorker, IsNotTakenForAsBusyAsTheOthersOfItsZone) {
+  Rig rig(plain_settings());
+  rig.workers(boxes(3));
+  rig.serve(rig.ask());
+  learn_long_waits(rig, 40);
+  rig.pass(5 * kSecond);
+  for (int i = 0; i < 3; ++i) rig.ask("unsafe");
+  rig.pass(30 * kMs);  // all others are full
+  auto list = boxes(3);
+  list.push_back(worker("cold"));
+  list.back().started = rig.now;
+  rig.workers(list);
+  const auto id = rig.ask("safe", 50 * kMs);
+  EXPECT_EQ(rig.sent_to(id), std::vector<WorkerId>{"cold"});
+}
+
+// Guards against a first job from everyone at once: much is granted only where an own job has started at
+// once.
+TEST(ColdWorker, IsGrantedMoreOnceItHasStartedAJobAtOnce) {
+  auto settings = plain_settings();
+  settings.fleet_size = 100;
+  int before = 0, after = 0;
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    settings.seed = seed;
+    Rig rig(settings);
+    rig.workers({worker("warm")});
+    show_speed_1(rig, 20 * kMs);
+    auto cold = worker("cold");
+    cold.started = rig.now;
+    rig.workers({cold});
+    const auto heavy = rig.ask("safe", 60 * kMs);
+    before += static_cast<int>(rig.sends(heavy).size());
+    if (const auto light = rig.ask("safe", 5 * kMs); !rig.sends(light).empty()) rig.serve(light, 10 * kMs);
+    after += static_cast<int>(rig.sends(heavy).size());
+  }
+  EXPECT_GT(before, 10);
+  EXPECT_GT(after, 2 * before);
+}
+
 TEST(ColdWorker, RejectedWorkCountsToo) {
   auto settings = plain_settings();
   Rig rig(settings);
@@ -1024,19 +1078,6 @@
   EXPECT_GE(away, 100);
 }
 
-// Jobs that each wait a second: the usual wait is far beyond any aim.
-void learn_long_waits(Rig& rig, int jobs = 30) {
-  for (int i = 0; i < jobs; ++i) {
-    const auto id = rig.ask("unsafe");
-    if (rig.sends(id).empty()) continue;
-    rig.pass(kSecond);
-    rig.give(Started{id, 0});
-    rig.now += 100 * kMs;
-    rig.end(id, Result::ok);
-    rig.pass(400 * kMs);
-  }
-}
-
 // Hundreds of dispatchers kept all queues full of jobs that could only end late.
 TEST(FullSize, WorthlessLateJobsAreRefusedAtOnceWhileAnOwnJobWaits) {
   auto settings = plain_settings();
