An error after attempts that never ran is held against the worker like a first one

Most first attempts end at workers of the lost zone, which never ran the job; learn_outcome() in src/decide.cpp took any later attempt for a repeat that may itself be at fault, and left the worker unjudged.

Now what counts is whether an earlier attempt may have run.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -562,7 +562,7 @@
       doubt(w);
     }
     // Guards against a worker that fails at once: always free, it draws every job. Repeats may be at fault.
-    if (result == Result::error && r.attempts.size() == 1) judge(w);
+    if (result == Result::error && r.may_have_run() == &a) judge(w);
   }
 
   void on(const Outcome& o) {
