One function for a dispatcher's part of cold work; tests share how a fleet is built

Read again: the choice between even parts and grants stood in the caller, a worker's draw was kept though its hash gives it, the constants broke over two lines, and two tests each built a fleet and summed a span in their own way.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -33,11 +33,10 @@
 constexpr double kZoneGap = 0.1;     // the own zone comes first until its late share is so far above others'
 constexpr double kShort = 0.75;      // share of late starts in every zone at which the fleet is short
 constexpr double kColdMargin = 0.7;  // part of the cold budget used: hints are off by up to a half
-constexpr double kEvenParts = 20;    // dispatchers that have even parts of a cold budget; of more, one with
-constexpr double kGrants = 1.0;      // ... 1/n of the traffic may have 1/n over its draw there in a span,
-constexpr double kProvenGrants =
-    1.6;                             // ... or so much where its last own job started at once, and at most ...
-constexpr double kMostGrant = 0.25;  // ... this: docs/design.md has the bound
+constexpr double kEvenParts = 20;    // dispatchers that have even parts of a cold budget; of more, ...
+constexpr double kGrants = 1.0;      // ... one with 1/n of the traffic may send 1/n over its draw in a span,
+constexpr double kProvenGrants = 1.6;    // ... so much where its last own job started at once, ...
+constexpr double kMostGrant = 0.25;      // ... and at most this: docs/design.md has the bound
 constexpr Micros kFirstTrial = 500'000;  // a judged worker's first trial comes after this, then doubling ...
 constexpr int kDoublings = 4;            // ... so often
 constexpr int kMissedNotes = 2;          // times the progress notes' span in which a running job is heard of
@@ -353,14 +352,13 @@
     if (!cold(w) || set.overload_span <= 0) return true;
     if (!beside.began && now - born < set.overload_span && w.info.started < born) return false;
     if (ends > 0 && beside.serves) return false;  // the rest is the other process's
-    const bool by_grants = set.fleet_size > kEvenParts;
     const double used = pieces() * (cold_load(work) + w.sent_since(now - set.overload_span));
     const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
     const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
     const double capacity = w.of->slots * speed(w) * part;
     const double budget =
         kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span);
-    return used <= budget * (by_grants ? granted(w) : 1.0 / std::max(1, set.fleet_size));
+    return used <= budget * cold_part(w);
   }
 
   // Guards against two processes of one dispatcher that each send what it may alone: a half each, until a
@@ -372,9 +370,11 @@
 
   // Guards against cold workers left empty: 1/100 of a budget holds no job. In a large fleet own draws, the
   // same throughout, grant much to few, more likely to those with much of the traffic.
-  double granted(const Worker& w) const {
-    const double part = tenants_quota > 0 ? start_rate(kShareSpan) / tenants_quota : 1.0 / set.fleet_size;
-    return std::min(kMostGrant, (w.prompt ? kProvenGrants : kGrants) * part / w.own_draw);
+  double cold_part(const Worker& w) const {
+    const double even = 1.0 / std::max(1, set.fleet_size);
+    if (set.fleet_size <= kEvenParts) return even;
+    const double part = tenants_quota > 0 ? start_rate(kShareSpan) / tenants_quota : even;
+    return std::min(kMostGrant, (w.prompt ? kProvenGrants : kGrants) * part / w.own_draw());
   }
 
   double cold_load(double work) const { return std::max(work, mean_work); }  // light jobs count too
--- a/src/records.h
+++ b/src/records.h
@@ -103,10 +103,12 @@
   bool banned = false;           // taken out by staff
   bool unreachable = false;      // refused a connection or broke one since its last sign of life
   bool prompt = false;           // its last own start was in time
-  double own_draw = 0;           // above 0, below 1, by the dispatcher's seed: the same after a restart
   std::deque<std::pair<Micros, double>> sent;  // time and work, while it is cold
 
   bool is_offered() const { return info.phase == Phase::serving && !banned; }  // by list and staff
+  double own_draw() const {  // above 0, below 1, by the dispatcher's seed: the same after a restart
+    return static_cast<double>((own_hash >> 11) | 1) * 0x1.0p-53;
+  }
   double sent_since(Micros at) {
     while (!sent.empty() && sent.front().first <= at) sent.pop_front();
     double all = 0;
@@ -382,7 +384,6 @@
     if (fresh) {
       w.name = at->first;
       w.own_hash = id_hash(info.id, set.seed);
-      w.own_draw = static_cast<double>((w.own_hash >> 11) | 1) * 0x1.0p-53;
       w.lane_hash = id_hash(info.id, 0);
       w.banned = banned.contains(info.id);
     }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -29,6 +29,13 @@
   for (int i = 0; i < 40; ++i) rig.serve(rig.ask("safe", hint), hint);
 }
 
+// From now on the only worker is one that has just started.
+void leave_a_cold_worker(Rig& rig) {
+  auto cold = worker("cold");
+  cold.started = rig.now;
+  rig.workers({cold});
+}
+
 // Jobs that each wait a second: the usual wait is far beyond any aim.
 void learn_long_waits(Rig& rig, int jobs = 30) {
   for (int i = 0; i < jobs; ++i) {
@@ -275,11 +282,9 @@
   settings.fleet_size = fleet;
   Rig rig(settings);
   rig.workers({worker("warm")});
-  for (int i = 0; i < 40; ++i) rig.serve(rig.ask("safe", hint), hint);  // speed 1, one slot
+  show_speed_1(rig, hint);
   rig.pass(5 * kSecond);
-  auto fresh = worker("cold");
-  fresh.started = rig.now;
-  rig.workers({fresh});
+  leave_a_cold_worker(rig);
   double work = 0;
   for (int i = 0; i < 200; ++i) {  // each job served in no time: only the budget holds them back
     const auto id = rig.ask("safe", hint);
@@ -305,39 +310,47 @@
   EXPECT_EQ(work_taken_in_a_second(8, 400 * kMs), 0);
 }
 
+constexpr Micros kColdFrom = 5000 * kSecond;  // when the cold worker of a whole fleet starts
+
+// The n-th dispatcher of a fleet, on its own seed. It has known a worker of speed 1; now there is a cold one.
+std::unique_ptr<Rig> one_of_a_fleet(int n, int fleet, Micros hint) {
+  auto settings = plain_settings();
+  settings.fleet_size = fleet;
+  settings.seed = 1000 + static_cast<std::uint64_t>(n);
+  auto rig = std::make_unique<Rig>(settings, kColdFrom - 60 * kSecond);
+  rig->workers({worker("warm")});
+  show_speed_1(*rig, hint);
+  rig->pass(kColdFrom - rig->now);
+  leave_a_cold_worker(*rig);
+  return rig;
+}
+
+double most_in_a_second(const std::multimap<Micros, Micros>& work) {  // in seconds, by when it was sent
+  Micros most = 0;
+  for (const auto& [from, first] : work) {
+    Micros in_span = 0;
+    for (auto i = work.lower_bound(from); i != work.lower_bound(from + kSecond); ++i) in_span += i->second;
+    most = std::max(most, in_span);
+  }
+  return static_cast<double>(most) / kSecond;
+}
+
 // Hundreds of busy dispatchers, each on its own seed, and a cold worker that tells nothing of what it was
 // sent: what all send it in any one span stays under the budget, though 1/400 of it holds no job.
 TEST(ColdWorker, GrantsOfHundredsOfBusyDispatchersStayUnderTheBudgetWhereNothingIsTold) {
   constexpr int kFleet = 400;
   for (const Micros hint : {20 * kMs, 150 * kMs}) {
-    std::multimap<Micros, double> sent;
-    const Micros begin = 5000 * kSecond;
+    std::multimap<Micros, Micros> sent;
     for (int n = 0; n < kFleet; ++n) {
-      auto settings = plain_settings();
-      settings.fleet_size = kFleet;
-      settings.seed = 1000 + static_cast<std::uint64_t>(n);
-      Rig rig(settings, begin - 60 * kSecond);
-      rig.workers({worker("warm")});
-      show_speed_1(rig, 20 * kMs);
-      rig.pass(begin - rig.now);
-      auto fresh = worker("cold");
-      fresh.started = begin;
-      rig.workers({fresh});
+      const auto rig = one_of_a_fleet(n, kFleet, 20 * kMs);
       for (Micros t = 0; t < 2 * kSecond; t += 100 * kMs) {
-        const auto id = rig.ask("safe", hint);
-        if (!rig.sends(id).empty()) sent.emplace(t, static_cast<double>(hint));
-        rig.pass(100 * kMs);
+        const auto id = rig->ask("safe", hint);
+        if (!rig->sends(id).empty()) sent.emplace(t, hint);
+        rig->pass(100 * kMs);
       }
     }
-    double most = 0;
-    for (const auto& [from, work] : sent) {
-      double in_span = 0;
-      for (auto i = sent.lower_bound(from); i != sent.end() && i->first < from + kSecond; ++i)
-        in_span += i->second;
-      most = std::max(most, in_span);
-    }
-    EXPECT_GT(most, 0);
-    EXPECT_LT(most, 3 * 0.5 * static_cast<double>(kSecond));  // factor x cold share x one slot of speed 1
+    EXPECT_GT(most_in_a_second(sent), 0);
+    EXPECT_LT(most_in_a_second(sent), 3 * 0.5);  // factor x cold share x one slot of speed 1
   }
 }
 
@@ -346,24 +359,13 @@
 class SharedColdWorker {
  public:
   SharedColdWorker() {
-    for (int n = 0; n < kFleet; ++n) {
-      auto settings = plain_settings();
-      settings.fleet_size = kFleet;
-      settings.seed = 1000 + static_cast<std::uint64_t>(n);
-      fleet_.push_back(std::make_unique<Rig>(settings, kBegin - 60 * kSecond));
-      fleet_.back()->workers({worker("warm")});
-      show_speed_1(*fleet_.back(), kHint);
-      fleet_.back()->now = kBegin;
-      auto fresh = worker("cold");
-      fresh.started = kBegin;
-      fleet_.back()->workers({fresh});
-    }
+    for (int n = 0; n < kFleet; ++n) fleet_.push_back(one_of_a_fleet(n, kFleet, kHint));
   }
 
   void play(Micros span) {
     for (Micros t = 0; t < span; t += kStep) {
       for (auto& rig : fleet_) {
-        rig->pass(kBegin + t - rig->now);
+        rig->pass(kColdFrom + t - rig->now);
         if (t % (100 * kMs) == 0) rig->ask("safe", kHint);
         collect(*rig, t);
       }
@@ -371,15 +373,7 @@
     }
   }
 
-  double most_sent_in_a_span() const {
-    double most = 0;
-    for (const auto& [from, id] : sent_) {
-      const auto until = sent_.lower_bound(from + kSecond);
-      const auto jobs = std::distance(sent_.lower_bound(from), until);
-      most = std::max(most, static_cast<double>(jobs) * static_cast<double>(kHint) / kSecond);
-    }
-    return most;
-  }
+  double most_sent_in_a_span() const { return most_in_a_second(sent_); }
   double done() const { return done_ / kSecond; }
 
   static constexpr int kFleet = 100;
@@ -397,7 +391,7 @@
     for (std::size_t& next = read_[&rig]; next < rig.log.size(); ++next) {
       const auto* send = std::get_if<Send>(&rig.log[next]);
       if (send == nullptr || send->worker != "cold") continue;
-      sent_.emplace(t, send->id);
+      sent_.emplace(t, kHint);
       waiting_.push_back({&rig, send->id, static_cast<int>(rig.sends(send->id).size()) - 1});
     }
   }
@@ -415,7 +409,6 @@
     ends_ = t + static_cast<Micros>(static_cast<double>(kHint) / kColdShare);
   }
 
-  static constexpr Micros kBegin = 5000 * kSecond;
   static constexpr Micros kStep = 4 * kMs;
   std::vector<std::unique_ptr<Rig>> fleet_;
   std::map<const Rig*, std::size_t> read_;  // of its log
@@ -423,11 +416,10 @@
   Job running_;
   Micros ends_ = 0;
   double done_ = 0;
-  std::multimap<Micros, RequestId> sent_;
+  std::multimap<Micros, Micros> sent_;
 };
 
-// Guards against a zone that comes back cold and stays empty while the others drown: what starts there at
-// once is work that the worker keeps up with, so that more may follow.
+// Guards against a zone that comes back cold and stays empty while the others drown.
 TEST(ColdWorker, AHundredDispatchersUseWhatItCanDoAndNoMoreThanTheBudget) {
   SharedColdWorker shared;
   shared.play(3 * kSecond);
@@ -487,9 +479,7 @@
     Rig rig(plain_settings());
     rig.workers({worker("warm")});
     show_speed_1(rig, 100 * kMs);
-    auto cold = worker("cold");
-    cold.started = rig.now;
-    rig.workers({cold});
+    leave_a_cold_worker(rig);
     int sent = 0;
     for (int i = 0; i < 90; ++i, rig.now += 10 * kMs) {
       const auto id = rig.ask("safe", hint);
@@ -566,9 +556,7 @@
     rig.now += 10 * kSecond;
     for (const auto& another : told) rig.give(another);
     rig.now += since;
-    auto cold = worker("cold");
-    cold.started = rig.now;
-    rig.workers({cold});
+    leave_a_cold_worker(rig);
     return work_sent_in_900_ms(rig);
   };
   const Beside starting{false, true, false}, serving{false, true, true}, let_go{false, false, false};
@@ -583,9 +571,7 @@
 TEST(ColdWorker, AProcessThatEndsBesideOneThatServesSendsThemNothing) {
   Rig rig(plain_settings());
   rig.now += 10 * kSecond;
-  auto cold = worker("cold");
-  cold.started = rig.now;
-  rig.workers({cold});
+  leave_a_cold_worker(rig);
   rig.give(Beside{false, true, true});
   rig.give(Ending{rig.now + 3 * kSecond});
   EXPECT_TRUE(rig.sends(rig.ask("safe", 10 * kMs)).empty());
@@ -971,12 +957,17 @@
 
 // ---- the list ----
 
-TEST(List, ASubscriptionIsAskedForAndAgainAfterEachFailureMoreSlowly) {
+Rig one_that_asks() {  // and has a list to go by meanwhile
   auto settings = plain_settings();
   settings.list_mode = ListMode::asked;
   Rig rig(settings);
   rig.workers(boxes(2), ListKind::remembered);
   rig.pass(100 * kMs);
+  return rig;
+}
+
+TEST(List, ASubscriptionIsAskedForAndAgainAfterEachFailureMoreSlowly) {
+  Rig rig = one_that_asks();
   EXPECT_EQ(rig.count<Subscribe>(), 1);
   for (int i = 0; i < 4; ++i) {
     rig.give(WorkerList{ListKind::failed, {}});
@@ -999,11 +990,7 @@
 // longer.
 TEST(List, AfterACallThatFailedSlowlyTheNextWaitsAtLeastAsLong) {
   for (const Micros in_vain : {10 * kMs, 2 * kSecond}) {
-    auto settings = plain_settings();
-    settings.list_mode = ListMode::asked;
-    Rig rig(settings);
-    rig.workers(boxes(2), ListKind::remembered);
-    rig.pass(100 * kMs);
+    Rig rig = one_that_asks();
     ASSERT_EQ(rig.count<Subscribe>(), 1);
     rig.pass(in_vain);
     rig.give(WorkerList{ListKind::failed, {}});
