--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -11,6 +11,8 @@
 #include <iostream>
 #include <thread>
 
+#include "lab/chaos/rig.h"
+#include "lab/chaos/simulated.h"
 #include "lab/page.h"
 #include "lab/sockets.h"
 #include "lab/sweep.h"
@@ -215,6 +217,88 @@
   return result["rules_kept"].get<bool>() ? 0 : kRuleBroken;
 }
 
+struct ChaosCall {
+  std::string file, out, mode = "processes", dispatcher = "build/woadridge";
+  std::optional<std::uint64_t> seed;
+  std::vector<std::string> words;
+  bool shrinks = false;
+  bool group = true;
+  int runs = 1;
+  int call_ms = 0;
+};
+
+void print(const ChaosReport& r, const std::string& name, std::uint64_t seed) {
+  int faults = 0;
+  for (const auto& [kind, count] : r.faults) faults += count;
+  std::printf(
+      "%s seed %llu: %d faults, acts taken %llu, two holders %llu, stale acts refused %llu, gaps %zu, p50 "
+      "%lld ms, "
+      "longest %lld ms\n",
+      name.c_str(), static_cast<unsigned long long>(seed), faults,
+      static_cast<unsigned long long>(r.acts_taken), static_cast<unsigned long long>(r.two_holders),
+      static_cast<unsigned long long>(r.stale_acts_refused), r.gaps.size(),
+      static_cast<long long>(percentile(r.gaps, 0.5) / 1000),
+      static_cast<long long>(percentile(r.gaps, 1) / 1000));
+  for (const auto& v : r.violations) std::printf("broken: %s\n", v.c_str());
+}
+
+// One that breaks something is kept, with fewer faults where it still does.
+void keep_shortened(const ChaosCall& call, const ChaosScenario& s, const std::vector<ChaosFault>& schedule) {
+  if (call.mode != "simulated") {
+    std::fprintf(stderr, "--shrink: schedules are shortened in simulated time only (--mode simulated)\n");
+    return;
+  }
+  const auto fewer = shrink(s, schedule, play_simulated);
+  const ChaosReport r = play_simulated(s, fewer);
+  std::printf("shortened from %zu faults to %zu:\n", schedule.size(), fewer.size());
+  for (const auto& f : fewer)
+    std::printf("  %s at %lld ms for %lld ms, members %d and %d\n", name_of(f.kind),
+                static_cast<long long>(f.at / 1000), static_cast<long long>(f.span / 1000), f.a, f.b);
+  if (!call.out.empty()) write(fs::path(call.out) / "shortened.json", report_json(r, s.name, s.seed));
+}
+
+int chaos(const ChaosCall& call) {
+  auto read = load_chaos(call.file);
+  if (const auto* fault = std::get_if<std::string>(&read)) {
+    std::cerr << *fault << "\n";
+    return kUsage;
+  }
+  ChaosScenario s = std::get<ChaosScenario>(std::move(read));
+  if (call.seed) s.seed = *call.seed;
+  const std::uint64_t first = s.seed;
+  bool broken = false, no_verdict = false;
+  for (; s.seed < first + static_cast<std::uint64_t>(call.runs) && !stop_asked; ++s.seed) {
+    const auto schedule = schedule_of(s);
+    ChaosReport r;
+    if (call.mode == "simulated") {
+      r = play_simulated(s, schedule);
+    } else {
+      if (::access(call.dispatcher.c_str(), X_OK) != 0)
+        throw std::runtime_error(call.dispatcher + ": no dispatcher there (--dispatcher names it)");
+      const bool kept = !call.out.empty();
+      const fs::path folder = (kept ? fs::path(call.out) : fs::temp_directory_path()) /
+                              ("chaos-" + std::to_string(::getpid()) + "-" + std::to_string(s.seed));
+      ProgressLine line(s.name + ", " + std::to_string(s.members) + " processes");
+      RigOptions options{call.dispatcher, folder.string(),       call.words,
+                         call.group,      call.call_ms * 1000LL, [&line](double part) { line(part); },
+                         &stop_asked};
+      r = play_processes(s, schedule, options);
+      if (!kept) fs::remove_all(folder);
+    }
+    print(r, s.name, s.seed);
+    if (!call.out.empty()) {
+      fs::create_directories(call.out);
+      write(fs::path(call.out) / "report.json", report_json(r, s.name, s.seed));
+      write(fs::path(call.out) / "report.html", chaos_page(r, s));
+    }
+    if (!r.no_verdict.empty()) std::fprintf(stderr, "no verdict: %s\n", r.no_verdict.c_str());
+    no_verdict = no_verdict || !r.no_verdict.empty();
+    broken = broken || !r.violations.empty();
+    if (!r.violations.empty() && call.shrinks) keep_shortened(call, s, schedule);
+  }
+  return broken ? kRuleBroken : no_verdict ? kNoVerdict : 0;
+}
+
 int list(const std::string& folder) {
   std::vector<fs::path> files;
   if (fs::is_directory(folder))
@@ -302,6 +386,27 @@
   fleet_cmd->add_flag("--small-writes", fleet.small_writes,
                       "workers write each piece alone and wait for acknowledgements");
 
+  ChaosCall chaos_call;
+  auto* chaos_cmd = app.add_subcommand(
+      "chaos", "faults between the members of a group; status 3: something was broken, 4: no verdict");
+  chaos_cmd->add_option("FILE", chaos_call.file)->required();
+  chaos_cmd->add_option("--seed", chaos_call.seed, "in place of the scenario's");
+  chaos_cmd->add_option("--mode", chaos_call.mode)
+      ->check(CLI::IsMember({"processes", "simulated"}))
+      ->capture_default_str();
+  chaos_cmd->add_option("--dispatcher", chaos_call.dispatcher, "the program")->capture_default_str();
+  chaos_cmd->add_option("--out", chaos_call.out,
+                        "folder for report.json, report.html and the processes' logs");
+  chaos_cmd->add_option("--runs", chaos_call.runs, "so many seeds, one after the other")
+      ->check(CLI::Range(1, 1'000'000))
+      ->capture_default_str();
+  chaos_cmd->add_option("--word", chaos_call.words, "a further argument of each dispatcher; may be repeated");
+  chaos_cmd->add_option("--discovery-ms", chaos_call.call_ms,
+                        "each call takes discovery so long, one after the other");
+  chaos_cmd->add_flag("!--no-group", chaos_call.group, "the dispatchers know nothing of one another");
+  chaos_cmd->add_flag("--shrink", chaos_call.shrinks,
+                      "a schedule that breaks something is shortened and kept");
+
   auto* list_cmd = app.add_subcommand("list", "the scenarios that come with it");
   list_cmd->add_option("--scenarios", folder)->capture_default_str();
 
@@ -319,6 +424,7 @@
       fleet.work = static_cast<woadridge::Micros>(work_ms * 1000);
       return keep_fleet(fleet, stop_asked);
     }
+    if (*chaos_cmd) return chaos(chaos_call);
     if (*compare_cmd) return compare_files(file, other);
     return list(folder);
   } catch (const CLI::ParseError& fault) {
--- /dev/null
+++ b/lab/process.cpp
@@ -0,0 +1,114 @@
+#include "lab/process.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/write.hpp>
+#include <fstream>
+#include <sstream>
+
+namespace woadridge::lab {
+
+std::uint16_t free_port() {  // one that nobody has now
+  boost::asio::io_context io;
+  net::Tcp::acceptor probe(io, net::Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  return probe.local_endpoint().port();
+}
+
+Process::~Process() {
+  end(SIGKILL);
+}
+
+bool Process::start(const std::string& program, const std::string& config, const std::string& log,
+                    const std::vector<std::string>& words) {
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  pid_ = ::fork();
+  if (pid_ == 0) {
+    ::setenv("EDGE_CONFIG", config.c_str(), 1);
+    ::dup2(out, STDOUT_FILENO);
+    ::dup2(out, STDERR_FILENO);
+    for (int fd = 3; fd < 4096; ++fd) ::close(fd);
+    std::vector<char*> all{const_cast<char*>(program.c_str())};
+    for (const auto& word : words) all.push_back(const_cast<char*>(word.c_str()));
+    all.push_back(nullptr);
+    ::execv(program.c_str(), all.data());
+    ::_exit(127);
+  }
+  if (out >= 0) ::close(out);
+  ticks_ = 0;
+  return pid_ > 0;
+}
+
+bool Process::running() {
+  if (pid_ <= 0) return false;
+  int status = 0;
+  if (::waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  pid_ = 0;
+  return false;
+}
+
+void Process::signal(int number) {
+  if (running()) ::kill(pid_, number);
+}
+
+void Process::end(int number) {
+  if (!running()) return;
+  ::kill(pid_, number);
+  ::waitpid(pid_, nullptr, 0);
+  pid_ = 0;
+}
+
+bool Process::look(double& cpu_us, double& memory_mb, int& descriptors) {
+  if (!running()) return false;
+  std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(stat)), {});
+  const auto behind = text.rfind(')');
+  if (behind == std::string::npos) return false;
+  std::istringstream fields(text.substr(behind + 2));
+  std::string field;
+  long long user = 0, system = 0, pages = 0;
+  for (int i = 3; fields >> field && i <= 24; ++i) {  // the numbers of proc(5)
+    if (i == 14) user = std::stoll(field);
+    if (i == 15) system = std::stoll(field);
+    if (i == 24) pages = std::stoll(field);
+  }
+  const double ticks = static_cast<double>(user + system);
+  cpu_us = (ticks - std::exchange(ticks_, ticks)) * 1e6 / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  memory_mb = static_cast<double>(pages) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / (1 << 20);
+  descriptors = 0;
+  if (DIR* folder = ::opendir(("/proc/" + std::to_string(pid_) + "/fd").c_str())) {
+    while (::readdir(folder) != nullptr) ++descriptors;
+    ::closedir(folder);
+  }
+  return true;
+}
+
+int Process::threads() const {
+  int count = 0;
+  if (pid_ <= 0) return 0;
+  if (DIR* folder = ::opendir(("/proc/" + std::to_string(pid_) + "/task").c_str())) {
+    while (const dirent* entry = ::readdir(folder)) count += entry->d_name[0] != '.' ? 1 : 0;
+    ::closedir(folder);
+  }
+  return count;
+}
+
+bool healthy(const net::Address& address) {
+  boost::asio::io_context io;
+  net::Tcp::socket socket(io);
+  net::Fault fault;
+  socket.connect(net::endpoint_of(address), fault);
+  if (fault) return false;
+  timeval limit{1, 0};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  boost::asio::write(
+      socket, boost::asio::buffer(std::string_view("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n")), fault);
+  char bytes[64] = {};
+  const ssize_t got = ::recv(socket.native_handle(), bytes, sizeof bytes - 1, 0);
+  return got > 12 && std::string_view(bytes, 12) == "HTTP/1.1 200";
+}
+
+}  // namespace woadridge::lab
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -29,6 +29,7 @@
 
 constexpr Route kStatus{"GET", "/status"};
 constexpr Route kFigures{"GET", "/status/metrics"};
+constexpr Route kGroup{"GET", "/group"};
 constexpr Route kStandby{"POST", "/standby"};
 constexpr Route kActive{"POST", "/active"};
 constexpr std::string_view kEnter = "/maintenance/enter/";  // POST, and the worker's id behind it
@@ -101,6 +102,7 @@
   auto& operations = admin_.operations_;
   if (path == kStatus.path) return with(kStatus.method, [&] { tell(operations.status()); });
   if (path == kFigures.path) return with(kFigures.method, [&] { tell({true, operations.figures()}); });
+  if (path == kGroup.path) return with(kGroup.method, [&] { tell(operations.group()); });
   if (path == kStandby.path) return with(kStandby.method, [&] { tell(operations.standby()); });
   if (path == kActive.path) return with(kActive.method, [&] { tell(operations.active()); });
   for (const bool out : {true, false})
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -27,6 +27,7 @@
   virtual Reply standby() = 0;
   virtual Reply active() = 0;
   virtual Reply maintain(const std::string& worker, bool out) = 0;
+  virtual Reply group() { return {false, "no such call\n", true}; }
 };
 
 class Admin;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -189,7 +189,7 @@
     throw Malformed(std::string("in settings: ") + fault.what());
   }
   check_settings(config.settings);
-  config.settings.may_tell = false;  // no channel between dispatchers here, whatever the platform allows
+  config.peers_allowed = std::exchange(config.settings.may_tell, false);  // the module has no channel
   config.settings.seed = read_seed(tree);
   if (const Json* known = tree.find("known"); known != nullptr && known->kind != Json::Kind::null) {
     auto members = read_members(*known);
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -24,6 +24,7 @@
   std::optional<Address> ops;    // the operators' address; none: not opened
   std::optional<int> inherited;  // a descriptor that listens already, held by the platform
   std::string scratch;           // a folder that outlives the process
+  bool peers_allowed = false;    // dispatchers may send one another something
   int sockets = 0;               // the most descriptors that the process may hold
   std::int64_t memory_mb = 0;    // 0: not told
   Settings settings;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -26,6 +26,7 @@
   void stop();  // reports nothing more
   void check_silence();
   bool ended() const { return ended_; }
+  Micros heard() const { return answered_ ? heard_ : 0; }
 
  private:
   void run(Fault fault, std::size_t bytes);
@@ -53,6 +54,7 @@
   void watch(std::int64_t since);  // in place of an earlier watch
   void move(Address address);      // ends the watch, reports nothing; the next one goes there
   bool watching() const { return watch_ != nullptr && !watch_->ended(); }
+  Micros last_heard() const { return watch_ == nullptr ? 0 : watch_->heard(); }  // 0: not yet
   void sweep();  // now and then: a watch that misses its beats has failed
   void stop();
 
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -231,6 +231,7 @@
 
 void Engine::probe_ended(const WorkerId& worker, Micros age, bool ok) {
   give(Probed{worker, age, ok, {}});
+  if (sharing_ != nullptr) sharing_->probed(worker, age, ok);
 }
 
 // ---- the list ----
@@ -241,11 +242,30 @@
     news.whole = false;  // an entry that can't be read is no worker that is gone
   }
   failed_watches_ = 0;
+  if (sharing_ != nullptr) sharing_->list_heard(news);
+  hear_list(std::move(news));
+}
+
+void Engine::hear_list(Members news) {
+  if (stopped_) return;
   heard_list_ = true;
   learn_members(news);
   hand_on();
 }
 
+Members Engine::whole_list() const {
+  Members all;
+  all.version = version_;
+  all.whole = true;
+  all.entries = roster_.present();
+  return all;
+}
+
+void Engine::watch_list(bool yes) {
+  if (yes) watch();
+  else discovery_.stop();
+}
+
 // Guards against a list of thousands that holds up serving: the module hears of it a slice at a time, drains
 // and departures first. A newer list joins what still waits.
 void Engine::hand_on() {
@@ -272,7 +292,8 @@
 }
 
 void Engine::watch() {
-  if (!stopped_ && !discovery_.watching()) discovery_.watch(version_);
+  if (stopped_ || discovery_.watching()) return;
+  if (sharing_ == nullptr || sharing_->watches_list()) discovery_.watch(version_);
 }
 
 // Another discovery counts its versions in its own way: it is asked for the whole list.
@@ -360,7 +381,7 @@
 }
 
 void Engine::carry_out(const Probe& action) {
-  workers_.probe(action.worker);
+  workers_.probe(action.worker, {});
 }
 
 // There is no channel between dispatchers: the configuration never allows the module to send there.
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -41,6 +41,16 @@
   virtual void answered(Answer answer) = 0;
 };
 
+// Others that read the list of workers, or probe them, for this dispatcher too: src/peer. None: it does so
+// itself.
+class Sharing {
+ public:
+  virtual ~Sharing() = default;
+  virtual bool watches_list() = 0;                   // whether this dispatcher is to ask discovery now
+  virtual void list_heard(const Members& news) = 0;  // from discovery itself
+  virtual void probed(const WorkerId& worker, Micros age, bool ok) = 0;  // by this dispatcher
+};
+
 class Engine : private WorkerEvents, private DiscoveryEvents {
  public:
   Engine(Strand strand, const Config& config, int most_worker_connections, BufferSpace& space);
@@ -62,6 +72,14 @@
   void beside(const Beside& another) { give(another); }
   void limit_connections(int most);  // to workers
 
+  void share(Sharing* sharing) { sharing_ = sharing; }  // outlived by it
+  void watch_list(bool yes);                            // what `sharing` says has changed
+  void hear_list(Members news);                         // from another dispatcher
+  void hear_probe(const WorkerId& worker, Micros age, bool ok) { give(Probed{worker, age, ok, {}}); }
+  void probe(const WorkerId& worker, const std::string& headers) { workers_.probe(worker, headers); }
+  Members whole_list() const;
+  Micros discovery_heard() const { return discovery_.last_heard(); }
+
   bool has_heard_list() const { return heard_list_; }  // from discovery itself, or what changed since
   bool holds_list() const { return !roster_.empty(); }
   const ClassSettings* class_named(std::string_view name) const;  // null: unknown
@@ -141,6 +159,7 @@
   Dispatcher dispatcher_;
   WorkerPool workers_;
   Discovery discovery_;
+  Sharing* sharing_ = nullptr;
   Timer timer_;
   Timer sweeper_;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> dues_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -39,9 +39,10 @@
 
 }  // namespace
 
-Service::Service(Config config, std::string source)
+Service::Service(Config config, std::string source, CompanionCall companion)
     : config_(std::move(config)),
       source_(std::move(source)),
+      companion_descriptors_(companion.descriptors),
       space_(config_.memory_mb),
       strand_(boost::asio::make_strand(io_)),
       engine_(strand_, config_, budget().most_workers(), space_),
@@ -53,12 +54,15 @@
       timer_(strand_),
       standby_timer_(strand_),
       round_timer_(strand_),
-      begun_(engine_.clock().now()) {}
+      begun_(engine_.clock().now()) {
+  if (companion.make) companion_ = companion.make(strand_, engine_, config_);
+}
 
 // While two processes are this dispatcher, each holds half of what one may.
 Budget Service::budget() const {
   const int processes = beside_another_ ? 2 : 1;
-  return Budget(config_.sockets / processes, config_.ops ? Admin::kDescriptors : 0);
+  const int aside = (config_.ops ? Admin::kDescriptors : 0) + companion_descriptors_;
+  return Budget(config_.sockets / processes, aside);
 }
 
 std::string Service::path_of(const char* kind) const {
@@ -66,6 +70,8 @@
 }
 
 std::string Service::open() {
+  if (companion_)
+    if (std::string fault = companion_->open(); !fault.empty()) return fault;
   engine_.start();
   learn_bans();
   if (std::string fault = open_presence(); !fault.empty()) return fault;
@@ -186,7 +192,12 @@
   if (told_to_end_ != 0) return {false, "ending\n"};
   if (!intake_.listens()) return {false, "does not take clients yet\n"};
   if (!engine_.holds_list()) return {false, "no list of workers yet\n"};
-  return {true, "serving\n"};
+  return {true, companion_ ? "serving\n" + companion_->status_line() + "\n" : "serving\n"};
+}
+
+Reply Service::group() {
+  if (!companion_) return Operations::group();
+  return {true, companion_->details()};
 }
 
 Reply Service::standby() {
@@ -253,6 +264,7 @@
     spdlog::info("configuration read again: discovery moves from {} to {}", to_text(config_.discovery),
                  to_text(fresh.discovery));
     config_.discovery = fresh.discovery;
+    if (companion_) companion_->moved(fresh.discovery);
     engine_.move_discovery(fresh.discovery);
   }
   take_settings(fresh);
@@ -287,6 +299,7 @@
   if (told_to_end_ != 0) return;
   told_to_end_ = engine_.clock().now();
   spdlog::info("told to end: {} requests to be answered", engine_.unanswered());
+  if (companion_) companion_->leave();
   intake_.begin_ending();
   handed_over_ = hand_over();
   engine_.end_at(told_to_end_ + patience());
@@ -315,7 +328,8 @@
   }
   if (handed_over_ || gone >= kStillListening) {
     intake_.stop_listening();
-    if (intake_.idle() || gone >= patience() + kLastAnswers) return finish();
+    const bool all_left = intake_.idle() && (!companion_ || companion_->has_left());
+    if (all_left || gone >= patience() + kLastAnswers) return finish();
     if (gone >= patience()) engine_.answer_all();
   }
   timer_.expires_after(kLookAgain);
@@ -333,6 +347,7 @@
   reload_signal_.cancel();
   intake_.stop();
   admin_.stop();
+  if (companion_) companion_->stop();
   engine_.stop();
 }
 
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "net/admin.h"
+#include "net/companion.h"
 #include "net/handover.h"
 #include "net/intake.h"
 #include "net/maintenance.h"
@@ -13,7 +14,8 @@
 
 class Service : private Operations {
  public:
-  explicit Service(Config config, std::string source = {});  // the file that it was read from
+  // Source: the file that it was read from. Companion: none unless it was asked for.
+  explicit Service(Config config, std::string source = {}, CompanionCall companion = {});
   std::string open();  // begins to listen; an empty text, or why that is not possible
   void run();          // until it was told to end, and has
   void end();          // from any thread
@@ -27,6 +29,7 @@
   Reply standby() override;
   Reply active() override;
   Reply maintain(const std::string& worker, bool out) override;
+  Reply group() override;
   Reply take_out(const std::string& worker);
   Reply put_back(const std::string& worker);
   void go_on_standing_by();
@@ -53,6 +56,7 @@
 
   Config config_;
   std::string source_;
+  int companion_descriptors_;
   BufferSpace space_;  // outlives what the loop still holds at its end
   boost::asio::io_context io_{1};
   Strand strand_;
@@ -61,6 +65,7 @@
   Bans bans_;
   Presence presence_;
   Admin admin_;
+  std::unique_ptr<Companion> companion_;  // none: nothing stands beside
   boost::asio::signal_set signals_;
   boost::asio::signal_set reload_signal_;
   Timer timer_;
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -75,13 +75,13 @@
   begin();
 }
 
-void WorkerConnection::probe() {
+void WorkerConnection::probe(const std::string& headers) {
   task_ = Task::probe;
   probe_sent_ = pool_.clock_.now();
   body_ = {};
   head_ = "GET /ping HTTP/1.1\r\n";
   write_header(head_, "Host", peer_.address().to_string() + ":" + std::to_string(peer_.port()));
-  head_.append("\r\n");
+  head_.append(headers).append("\r\n");
   begin();
 }
 
@@ -381,10 +381,10 @@
   connection->carry(key, request);
 }
 
-void WorkerPool::probe(const WorkerId& worker) {
+void WorkerPool::probe(const WorkerId& worker, const std::string& headers) {
   const auto connection = connection_to(worker, false);
   if (connection == nullptr) return events_.probe_ended(worker, 0, false);
-  connection->probe();
+  connection->probe(headers);
 }
 
 void WorkerPool::call_off(AttemptKey key) {
--- a/src/net/workers.h
+++ b/src/net/workers.h
@@ -66,7 +66,7 @@
   WorkerConnection(WorkerPool& pool, WorkerId worker, Tcp::endpoint peer);
 
   void carry(AttemptKey key, const WorkerRequest& request);
-  void probe();
+  void probe(const std::string& headers);
   void abandon();     // closes at once and reports nothing more
   bool still_open();  // asks the system, so that a close that was not read yet is seen
   const WorkerId& worker() const { return worker_; }
@@ -131,7 +131,7 @@
   void forget(const WorkerId& worker);                          // it is gone
   void drop_idle(const WorkerId& worker);                       // it has restarted
   void send(AttemptKey key, const WorkerId& worker, const WorkerRequest& request);
-  void probe(const WorkerId& worker);
+  void probe(const WorkerId& worker, const std::string& headers);  // whole lines, or none
   void call_off(AttemptKey key);
   void sweep();  // now and then: drops what has stood idle long
   void close_all();
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -24,6 +24,13 @@
   return changes_;
 }
 
+std::vector<Member> Roster::present() const {
+  std::vector<Member> all;
+  for (const auto& [id, held] : held_)
+    if (held.member.info.phase != Phase::gone) all.push_back(held.member);
+  return all;
+}
+
 void Roster::take(const Member& entry) {
   const auto [at, fresh] = held_.try_emplace(entry.info.id);
   Held& held = at->second;
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -52,6 +52,7 @@
   void tell_all();  // the module has to hear of each again
   bool waits() const { return !urgent_.empty() || !calm_.empty(); }
 
+  std::vector<Member> present() const;           // all that are listed
   std::size_t size() const { return present_; }  // workers that are listed, draining ones too
   bool empty() const { return present_ == 0; }
   bool ever_named(const std::string& id) const { return held_.contains(id) || left_.contains(id); }
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -428,7 +428,7 @@
       peer.sees_close();
     });
     probed_.clear();
-    pool_.probe("w");
+    pool_.probe("w", {});
     run_until([&] { return !probed_.empty(); });
     pool_.forget("w");
     thread.join();
