--- a/lab/chaos/rig.cpp
+++ b/lab/chaos/rig.cpp
@@ -61,23 +61,7 @@
 }
 
 std::optional<Json> ask(const net::Address& address) {
-  boost::asio::io_context io;
-  net::Tcp::socket socket(io);
-  net::Fault fault;
-  socket.connect(net::endpoint_of(address), fault);
-  if (fault) return std::nullopt;
-  timeval limit{0, 300'000};
-  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  boost::asio::write(
-      socket, boost::asio::buffer(std::string_view("GET /group HTTP/1.1\r\nHost: lab\r\n\r\n")), fault);
-  std::string answer;
-  char bytes[16'384];
-  ssize_t got = 0;
-  while ((got = ::recv(socket.native_handle(), bytes, sizeof bytes, 0)) > 0)
-    answer.append(bytes, static_cast<std::size_t>(got));
-  const auto body = answer.find("\r\n\r\n");
-  if (body == std::string::npos) return std::nullopt;
-  const Json tree = Json::parse(answer.substr(body + 4), nullptr, false);
+  const Json tree = Json::parse(body_of(address, "/group"), nullptr, false);
   if (tree.is_discarded() || !tree.value("on", false)) return std::nullopt;
   return tree;
 }
@@ -470,6 +454,7 @@
     for (auto& p : processes_) p->end(SIGKILL);
     for (int i = 0; i < s_.members; ++i) read_log(i);
     make_spans(end);
+    tell_first_lists();
     if (stopped()) report_.no_verdict = "stopped";
     report_.figures["worst_lag_ms"] = static_cast<double>(worst_lag_) / 1e3;
     report_.figures["gap_bound_ms"] = static_cast<double>(gap_bound(s_.times)) / 1e3;
@@ -508,11 +493,17 @@
     std::ifstream log(path(i, ".log"));
     const std::string name = "n" + std::to_string(i);
     int life = 0;
+    bool has_list = false;
     for (std::string line; std::getline(log, line);) {
       std::istringstream words(line);
       std::string time, level, what;
       words >> time >> level >> what;
       if (what == "group" && line.find(" is on: ") != std::string::npos) ++life;
+      if (what == "list" && !has_list) {
+        std::string known;
+        for (std::string word; words >> word && word != "known";) known = word;
+        if (std::atoi(known.c_str()) > 0) has_list = true, first_lists_.push_back(time_of(line));
+      }
       if (what == "act") {
         ChaosAct act;
         std::string number, from, taken;
@@ -530,6 +521,20 @@
     }
   }
 
+  void tell_first_lists() {
+    constexpr Micros kDay = 86'400'000'000;
+    for (auto& t : first_lists_) t = ((t - begin_) % kDay + kDay) % kDay;
+    report_.figures["have_a_list"] = static_cast<double>(first_lists_.size());
+    report_.figures["first_list_p50_ms"] = static_cast<double>(percentile(first_lists_, 0.5)) / 1e3;
+    report_.figures["first_list_longest_ms"] = static_cast<double>(percentile(first_lists_, 1)) / 1e3;
+    std::map<Micros, int> by_second;
+    for (const auto& [at, count] : stand_ins_->calls_by_time()) by_second[at / 1'000'000] += count;
+    for (const auto& [second, count] : by_second) {
+      auto& most = report_.figures["calls_at_discovery_most_a_second"];
+      most = std::max(most, static_cast<double>(count));
+    }
+  }
+
   struct MoveLine {
     Micros at;
     int member;
@@ -601,6 +606,7 @@
   std::set<int> busy_;    // stopped: nobody asks them
   std::vector<std::pair<int, Micros>> stops_;
   std::vector<MoveLine> moves_;
+  std::vector<Micros> first_lists_;
   ActJudge judge_;
   ChaosReport report_;
 };
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -23,14 +23,15 @@
 }
 
 bool Process::start(const std::string& program, const std::string& config, const std::string& log,
-                    const std::vector<std::string>& words) {
+                    const std::vector<std::string>& words, int listener) {
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   pid_ = ::fork();
   if (pid_ == 0) {
     ::setenv("EDGE_CONFIG", config.c_str(), 1);
     ::dup2(out, STDOUT_FILENO);
     ::dup2(out, STDERR_FILENO);
-    for (int fd = 3; fd < 4096; ++fd) ::close(fd);
+    if (listener >= 0) ::dup2(listener, 3), ::setenv("EDGE_INHERITED_FD", "3", 1);
+    for (int fd = listener >= 0 ? 4 : 3; fd < 4096; ++fd) ::close(fd);
     std::vector<char*> all{const_cast<char*>(program.c_str())};
     for (const auto& word : words) all.push_back(const_cast<char*>(word.c_str()));
     all.push_back(nullptr);
@@ -96,6 +97,23 @@
   return count;
 }
 
+std::string body_of(const net::Address& address, const std::string& path) {
+  boost::asio::io_context io;
+  net::Tcp::socket socket(io);
+  net::Fault fault;
+  socket.connect(net::endpoint_of(address), fault);
+  if (fault) return {};
+  timeval limit{0, 300'000};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  boost::asio::write(socket, boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: lab\r\n\r\n"), fault);
+  std::string answer;
+  char bytes[16'384];
+  for (ssize_t got = 0; (got = ::recv(socket.native_handle(), bytes, sizeof bytes, 0)) > 0;)
+    answer.append(bytes, static_cast<std::size_t>(got));
+  const auto body = answer.find("\r\n\r\n");
+  return body == std::string::npos ? std::string() : answer.substr(body + 4);
+}
+
 bool healthy(const net::Address& address) {
   boost::asio::io_context io;
   net::Tcp::socket socket(io);
--- a/lab/process.h
+++ b/lab/process.h
@@ -20,7 +20,7 @@
   ~Process();
 
   bool start(const std::string& program, const std::string& config, const std::string& log,
-             const std::vector<std::string>& words = {});
+             const std::vector<std::string>& words = {}, int listener = -1);  // handed over as descriptor 3
   bool running();
   void signal(int number);
   void end(int number);
@@ -34,5 +34,7 @@
 };
 
 bool healthy(const net::Address& address);
+std::string body_of(const net::Address& address,
+                    const std::string& path);  // empty: nobody has answered in time
 
 }  // namespace woadridge::lab
