--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -218,7 +218,7 @@
 }
 
 struct ChaosCall {
-  std::string file, out, mode = "processes", dispatcher = "build/woadridge";
+  std::string file, out, mode = "processes", dispatcher = "build/woadridge_planted";
   std::optional<std::uint64_t> seed;
   std::vector<std::string> words;
   bool shrinks = false;
