--- a/lab/chaos/relay.cpp
+++ b/lab/chaos/relay.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kMostWaiting = 4 << 20;  // bytes of one way that wait; then it reads no further
-constexpr auto kLook = std::chrono::milliseconds(5);
+constexpr std::size_t kThin = 8 * 1024;        // bytes a second
 
 }  // namespace
 
@@ -121,6 +121,8 @@
     if (f.lossy > 0 && chance.uniform() < 0.33) return;
     auto when = std::chrono::steady_clock::now();
     if (f.slow > 0) when += std::chrono::milliseconds(static_cast<int>(chance.uniform(50, 800)));
+    if (f.thin > 0)
+      when = std::max(when, last_) + std::chrono::microseconds(frame.size() * 1'000'000 / kThin);
     if (f.reorder > 0) when += std::chrono::milliseconds(static_cast<int>(chance.uniform(0, 60)));
     else when = std::max(when, last_);  // one connection keeps its order
     last_ = std::max(last_, when);
--- a/lab/chaos/relay.h
+++ b/lab/chaos/relay.h
@@ -19,6 +19,7 @@
   int lossy = 0;        // a third of the frames is lost
   int repeat = 0;       // half of the frames come twice
   int reorder = 0;      // frames overtake one another
+  int thin = 0;         // 8 KB a second
   int break_frame = 0;  // connections end in the middle of a frame
 };
 
--- a/lab/chaos/rig.cpp
+++ b/lab/chaos/rig.cpp
@@ -367,6 +367,8 @@
         return links([&](Relay& r) { r.link(f.a, f.b).repeat += by; });
       case ChaosKind::reorder_link:
         return links([&](Relay& r) { r.link(f.a, f.b).reorder += by; });
+      case ChaosKind::thin_link:
+        return links([&](Relay& r) { r.link(f.a, f.b).thin += by; });
       case ChaosKind::break_frame:
         return links([&](Relay& r) { r.link(f.a, f.b).break_frame += by; });
       case ChaosKind::silent_link:
--- a/lab/chaos/schedule.cpp
+++ b/lab/chaos/schedule.cpp
@@ -12,14 +12,15 @@
 namespace {
 
 constexpr const char* kNames[kChaosKinds] = {
-    "kill",        "lose-disk",   "old-disk",  "pause",     "terminate",   "cut",         "isolate",
-    "deaf",        "halves",      "flap",      "slow-link", "lossy-link",  "repeat-link", "reorder-link",
-    "break-frame", "silent-link", "slow-sync", "full-disk", "failed-sync", "all-down",    "set-back"};
+    "kill",        "lose-disk",    "old-disk",    "pause",       "terminate", "cut",
+    "isolate",     "deaf",         "halves",      "flap",        "slow-link", "lossy-link",
+    "repeat-link", "reorder-link", "break-frame", "silent-link", "slow-sync", "full-disk",
+    "failed-sync", "all-down",     "thin-link",   "set-back"};
 
 bool takes_voter(ChaosKind k) {  // a voter so struck gives no service meanwhile
   return k != ChaosKind::cut && k != ChaosKind::flap && k != ChaosKind::slow_link &&
          k != ChaosKind::lossy_link && k != ChaosKind::repeat_link && k != ChaosKind::reorder_link &&
-         k != ChaosKind::break_frame;
+         k != ChaosKind::break_frame && k != ChaosKind::thin_link;
 }
 bool takes_process(ChaosKind k) {
   return k == ChaosKind::kill || k == ChaosKind::lose_disk || k == ChaosKind::old_disk ||
--- a/lab/chaos/schedule.h
+++ b/lab/chaos/schedule.h
@@ -35,6 +35,7 @@
   full_disk,     // the folder takes nothing
   failed_sync,   // a write fails; the process is started again later
   all_down,      // all are killed at once, and started again
+  thin_link,     // 8 KB a second
   set_back,  // the disk under a folder is set back: nothing tells it from what it was. Only where it is named
 };
 constexpr int kChaosKinds = static_cast<int>(ChaosKind::set_back) + 1;
--- a/lab/chaos/simulated.cpp
+++ b/lab/chaos/simulated.cpp
@@ -69,7 +69,7 @@
 };
 
 struct Way {  // one direction of one link
-  int cut = 0, slow = 0, lossy = 0, repeat = 0, reorder = 0;
+  int cut = 0, slow = 0, lossy = 0, repeat = 0, reorder = 0, thin = 0;
   Micros last = 0;
 };
 
@@ -296,6 +296,8 @@
     for (int c = 0; c < copies; ++c) {
       Micros delay = static_cast<Micros>(chance_.uniform(100, 1'500));
       if (w.slow > 0) delay += static_cast<Micros>(chance_.uniform(50'000, 800'000));
+      if (w.thin > 0)  // 8 KB a second
+        delay += std::max<Micros>(0, w.last - now_) + static_cast<Micros>(frame->ByteSizeLong()) * 122;
       if (w.reorder > 0) delay += static_cast<Micros>(chance_.uniform(0, 60'000));
       Micros when = now_ + delay;
       if (w.reorder == 0) when = w.last = std::max(w.last + 1, when);  // one connection keeps its order
@@ -392,6 +394,8 @@
         return all_links(f.a, by, true, false);
       case ChaosKind::halves:
         return between_halves(by);
+      case ChaosKind::thin_link:
+        return links(f.a, f.b, by, &Way::thin);
       case ChaosKind::slow_link:
         return links(f.a, f.b, by, &Way::slow);
       case ChaosKind::lossy_link:
@@ -579,7 +583,7 @@
 }
 
 std::vector<ChaosFault> shrink(const ChaosScenario& scenario, std::vector<ChaosFault> schedule,
-                               ChaosReport (*play)(const ChaosScenario&, const std::vector<ChaosFault>&)) {
+                               const PlayChaos& play) {
   for (std::size_t part = schedule.size(); part > 0; part /= 2) {
     for (std::size_t at = 0; at < schedule.size();) {
       std::vector<ChaosFault> fewer = schedule;
--- a/lab/chaos/simulated.h
+++ b/lab/chaos/simulated.h
@@ -2,6 +2,8 @@
 // runs in the dispatcher. The same scenario and seed give the same run.
 #pragma once
 
+#include <functional>
+
 #include "lab/chaos/report.h"
 
 namespace woadridge::lab {
@@ -10,7 +12,8 @@
 ChaosReport play_simulated(const ChaosScenario& scenario, const std::vector<ChaosFault>& schedule);
 
 // Leaves out faults as long as something is still broken: what remains is needed for it.
+using PlayChaos = std::function<ChaosReport(const ChaosScenario&, const std::vector<ChaosFault>&)>;
 std::vector<ChaosFault> shrink(const ChaosScenario& scenario, std::vector<ChaosFault> schedule,
-                               ChaosReport (*play)(const ChaosScenario&, const std::vector<ChaosFault>&));
+                               const PlayChaos& play);
 
 }  // namespace woadridge::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -9,6 +9,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include "lab/chaos/rig.h"
@@ -223,7 +225,9 @@
   std::vector<std::string> words;
   bool shrinks = false;
   bool group = true;
+  std::optional<int> voters, members;
   int runs = 1;
+  int jobs = 1;
   int call_ms = 0;
 };
 
@@ -243,13 +247,10 @@
 }
 
 // One that breaks something is kept, with fewer faults where it still does.
-void keep_shortened(const ChaosCall& call, const ChaosScenario& s, const std::vector<ChaosFault>& schedule) {
-  if (call.mode != "simulated") {
-    std::fprintf(stderr, "--shrink: schedules are shortened in simulated time only (--mode simulated)\n");
-    return;
-  }
-  const auto fewer = shrink(s, schedule, play_simulated);
-  const ChaosReport r = play_simulated(s, fewer);
+void keep_shortened(const ChaosCall& call, const ChaosScenario& s, const std::vector<ChaosFault>& schedule,
+                    const PlayChaos& play) {
+  const auto fewer = shrink(s, schedule, play);
+  const ChaosReport r = play(s, fewer);
   std::printf("shortened from %zu faults to %zu:\n", schedule.size(), fewer.size());
   for (const auto& f : fewer)
     std::printf("  %s at %lld ms for %lld ms, members %d and %d\n", name_of(f.kind),
@@ -257,6 +258,54 @@
   if (!call.out.empty()) write(fs::path(call.out) / "shortened.json", report_json(r, s.name, s.seed));
 }
 
+ChaosReport play_real(const ChaosCall& call, const ChaosScenario& s,
+                      const std::vector<ChaosFault>& schedule) {
+  if (::access(call.dispatcher.c_str(), X_OK) != 0)
+    throw std::runtime_error(call.dispatcher + ": no dispatcher there (--dispatcher names it)");
+  const bool kept = !call.out.empty();
+  const fs::path folder = kept
+                              ? fs::path(call.out) / "processes"
+                              : fs::temp_directory_path() / ("woadridge-chaos-" + std::to_string(::getpid()));
+  ProgressLine line(s.name + ", " + std::to_string(s.members) + " processes");
+  RigOptions options{call.dispatcher, folder.string(),       call.words,
+                     call.group,      call.call_ms * 1000LL, [&line](double part) { line(part); },
+                     &stop_asked};
+  ChaosReport r = play_processes(s, schedule, options);
+  if (!kept) fs::remove_all(folder);
+  return r;
+}
+
+// Many schedules in simulated time, several at once; what is printed goes by the seed.
+int chaos_many(const ChaosCall& call, const ChaosScenario& first) {
+  std::atomic<int> next = 0;
+  std::mutex guard;
+  std::map<std::uint64_t, std::vector<std::string>> broken;
+  ChaosReport all;
+  const auto work = [&] {
+    for (int i = next++; i < call.runs && !stop_asked; i = next++) {
+      ChaosScenario s = first;
+      s.seed += static_cast<std::uint64_t>(i);
+      const ChaosReport r = play_simulated(s, schedule_of(s));
+      const std::lock_guard lock(guard);
+      all.acts_taken += r.acts_taken;
+      all.two_holders += r.two_holders;
+      all.stale_acts_refused += r.stale_acts_refused;
+      all.gaps.insert(all.gaps.end(), r.gaps.begin(), r.gaps.end());
+      for (const auto& [kind, count] : r.faults) all.faults[kind] += count;
+      if (!r.violations.empty()) broken[s.seed] = r.violations;
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int t = 0; t < call.jobs; ++t) threads.emplace_back(work);
+  for (auto& t : threads) t.join();
+  std::printf("%d schedules, %d voters, %d members: ", std::min(call.runs, next.load()), first.voters,
+              first.members);
+  print(all, first.name, first.seed);
+  for (const auto& [seed, what] : broken)
+    std::printf("seed %llu broken: %s\n", static_cast<unsigned long long>(seed), what.front().c_str());
+  return !broken.empty() ? kRuleBroken : stop_asked ? kNoVerdict : 0;
+}
+
 int chaos(const ChaosCall& call) {
   auto read = load_chaos(call.file);
   if (const auto* fault = std::get_if<std::string>(&read)) {
@@ -265,26 +314,19 @@
   }
   ChaosScenario s = std::get<ChaosScenario>(std::move(read));
   if (call.seed) s.seed = *call.seed;
+  if (call.voters) s.voters = *call.voters, s.most_down = *call.voters / 2;
+  if (call.members) s.members = *call.members;
+  if (s.members < s.voters) s.members = s.voters;
+  if (call.mode == "simulated" && call.runs > 1) return chaos_many(call, s);
+  const PlayChaos play =
+      call.mode == "simulated" ? PlayChaos(play_simulated) : [&call](const auto& of, const auto& faults) {
+        return play_real(call, of, faults);
+      };
   const std::uint64_t first = s.seed;
   bool broken = false, no_verdict = false;
   for (; s.seed < first + static_cast<std::uint64_t>(call.runs) && !stop_asked; ++s.seed) {
     const auto schedule = schedule_of(s);
-    ChaosReport r;
-    if (call.mode == "simulated") {
-      r = play_simulated(s, schedule);
-    } else {
-      if (::access(call.dispatcher.c_str(), X_OK) != 0)
-        throw std::runtime_error(call.dispatcher + ": no dispatcher there (--dispatcher names it)");
-      const bool kept = !call.out.empty();
-      const fs::path folder = (kept ? fs::path(call.out) : fs::temp_directory_path()) /
-                              ("chaos-" + std::to_string(::getpid()) + "-" + std::to_string(s.seed));
-      ProgressLine line(s.name + ", " + std::to_string(s.members) + " processes");
-      RigOptions options{call.dispatcher, folder.string(),       call.words,
-                         call.group,      call.call_ms * 1000LL, [&line](double part) { line(part); },
-                         &stop_asked};
-      r = play_processes(s, schedule, options);
-      if (!kept) fs::remove_all(folder);
-    }
+    const ChaosReport r = play(s, schedule);
     print(r, s.name, s.seed);
     if (!call.out.empty()) {
       fs::create_directories(call.out);
@@ -294,7 +336,7 @@
     if (!r.no_verdict.empty()) std::fprintf(stderr, "no verdict: %s\n", r.no_verdict.c_str());
     no_verdict = no_verdict || !r.no_verdict.empty();
     broken = broken || !r.violations.empty();
-    if (!r.violations.empty() && call.shrinks) keep_shortened(call, s, schedule);
+    if (!r.violations.empty() && call.shrinks) keep_shortened(call, s, schedule, play);
   }
   return broken ? kRuleBroken : no_verdict ? kNoVerdict : 0;
 }
@@ -387,6 +429,7 @@
                       "workers write each piece alone and wait for acknowledgements");
 
   ChaosCall chaos_call;
+  chaos_call.jobs = cores;
   auto* chaos_cmd = app.add_subcommand(
       "chaos", "faults between the members of a group; status 3: something was broken, 4: no verdict");
   chaos_cmd->add_option("FILE", chaos_call.file)->required();
@@ -400,6 +443,13 @@
   chaos_cmd->add_option("--runs", chaos_call.runs, "so many seeds, one after the other")
       ->check(CLI::Range(1, 1'000'000))
       ->capture_default_str();
+  chaos_cmd->add_option("--voters", chaos_call.voters, "in place of the scenario's")
+      ->check(CLI::IsMember({3, 5, 7}));
+  chaos_cmd->add_option("--members", chaos_call.members, "in place of the scenario's")
+      ->check(CLI::Range(3, 1000));
+  chaos_cmd->add_option("--jobs", chaos_call.jobs, "simulated runs at a time")
+      ->check(CLI::Range(1, 256))
+      ->capture_default_str();
   chaos_cmd->add_option("--word", chaos_call.words, "a further argument of each dispatcher; may be repeated");
   chaos_cmd->add_option("--discovery-ms", chaos_call.call_ms,
                         "each call takes discovery so long, one after the other");
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -57,7 +57,8 @@
   Config config_;
   std::string source_;
   int companion_descriptors_;
-  BufferSpace space_;  // outlives what the loop still holds at its end
+  bool beside_another_ = false;  // before what is built with budget(), which reads both
+  BufferSpace space_;            // outlives what the loop still holds at its end
   boost::asio::io_context io_{1};
   Strand strand_;
   Engine engine_;
@@ -72,7 +73,6 @@
   Timer standby_timer_;
   Timer round_timer_;
   Micros begun_ = 0;
-  bool beside_another_ = false;
   bool other_served_ = false;  // ... and has taken clients
   Beside told_beside_;
   bool handed_over_ = false;
--- a/src/peer/group.cpp
+++ b/src/peer/group.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto kSweepEvery = std::chrono::milliseconds(500);
+constexpr std::size_t kDutiesInStatus = 20;
 constexpr auto kTryAgain = std::chrono::milliseconds(200);  // beside an older process that has not let go yet
 
 std::uint64_t wall_us() {
@@ -240,6 +241,13 @@
   if (node_->displaced()) line += ", another process has this name";
   if (const auto* c = node_->consensus(); c != nullptr && (c->failed() || c->stale()))
     line += ", its folder is of no use";
+  std::size_t told = 0;
+  for (const auto& [duty, number] : node_->holder().held()) {
+    if (++told > kDutiesInStatus) return line + "\n... /group has all";
+    const auto seconds = (now() - node_->holder().since(duty).value_or(now())) / 1'000'000;
+    line += "\nduty " + duty + " number " + std::to_string(number) + " for " + std::to_string(seconds) +
+            " s: " + why_[duty];
+  }
   return line;
 }
 
--- a/tests/chaos/simulated_test.cpp
+++ b/tests/chaos/simulated_test.cpp
@@ -19,24 +19,24 @@
   return s;
 }
 
-// Ten parts, so that they go on beside one another: 10,000 schedules together.
+// CI plays 10,000 more without sanitizers (.ci/run).
 class Schedules : public ::testing::TestWithParam<int> {};
 
 TEST_P(Schedules, NoDutyEverHasTwoHoldersAndVotersAgree) {
   std::uint64_t acts = 0;
-  for (int i = 0; i < 1'000; ++i) {
+  for (int i = 0; i < 40; ++i) {
     const ChaosScenario s = short_one(static_cast<std::uint64_t>(GetParam() * 1'000 + i + 1));
     const auto r = play_simulated(s, schedule_of(s));
     acts += r.acts_taken;
     ASSERT_EQ(r.violations, std::vector<std::string>()) << "seed " << s.seed;
     ASSERT_EQ(r.two_holders, 0u) << "seed " << s.seed;
   }
-  EXPECT_GT(acts, 20'000u);  // and it was not because nothing happened
+  EXPECT_GT(acts, 1'000u);  // and it was not because nothing happened
 }
 INSTANTIATE_TEST_SUITE_P(Ten, Schedules, ::testing::Range(0, 10));
 
 TEST(SimulatedChaos, AfterTheFaultsEachDutyHasAHolderAgainWithinTheStatedTime) {
-  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
     ChaosScenario s = short_one(seed);
     s.length = 30'000'000;
     s.calm = gap_bound(s.times) + 3'000'000;
@@ -79,6 +79,22 @@
   EXPECT_EQ(report_json(a, "x", 7), report_json(b, "x", 7));
 }
 
+// Two of three voters come back without their folders: nobody can know what they had agreed to, so nobody is
+// given anything until staff begin anew. Before that it would have been "as who they were".
+TEST(SimulatedChaos, AfterTheLossOfMostFoldersNothingIsGivenOutAnyMore) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ChaosScenario s = short_one(10);
+    s.seed = seed;
+    s.length = 40'000'000;
+    const auto r =
+        play_simulated(s, {{ChaosKind::lose_disk, 8'000'000, 500'000, 0, 0},
+                           {ChaosKind::lose_disk, 8'100'000, 500'000, static_cast<int>(1 + seed % 2), 0}});
+    EXPECT_EQ(r.violations, std::vector<std::string>()) << "seed " << seed;
+    ASSERT_FALSE(r.spans.empty());
+    for (const auto& span : r.spans) EXPECT_LT(span.from, 9'000'000) << span.duty << ", seed " << seed;
+  }
+}
+
 TEST(SimulatedChaos, ThreeHundredMembersKeepTheirDutiesThroughFaults) {
   ChaosScenario s;
   s.seed = 3;
--- a/tests/duty/holder_test.cpp
+++ b/tests/duty/holder_test.cpp
@@ -14,11 +14,12 @@
     options_.name = "n5";
     options_.zone = "z";
     for (const auto* name : {"n0", "n1", "n2"}) options_.voters.push_back({name, std::string(name) + ":1"});
-    holder_.start(now_);
+    holder_.emplace(options_, 77, 0);
+    holder_->start(now_);
   }
   std::uint64_t ask() {  // the number of the keep-alive that goes out now
     Out out;
-    holder_.tick(now_, out);
+    holder_->tick(now_, out);
     for (const auto& sent : out)
       if (sent.frame.has_keep_alive()) return sent.frame.keep_alive().number();
     return 0;
@@ -39,13 +40,13 @@
       h->set_number(n);
     }
     Out out;
-    holder_.receive(frame, now_, out);
+    holder_->receive(frame, now_, out);
   }
-  bool acts() const { return holder_.may_act("list/z", now_).has_value(); }
+  bool acts() const { return holder_->may_act("list/z", now_).has_value(); }
 
   group::Options options_;
   Micros now_ = 1'000'000;
-  Holder holder_{options_, 77, 0};
+  std::optional<Holder> holder_;
 };
 
 TEST_F(HolderTest, TheLeaseCountsFromBeforeTheMemberAsked) {
@@ -76,7 +77,7 @@
   const auto first = ask();
   answer(first, 5, {{"list/z", 3}});
   Out out;
-  holder_.give_up("list/z", now_, out);
+  holder_->give_up("list/z", now_, out);
   EXPECT_FALSE(acts());
   answer(0, 5, {{"list/z", 3}});
   EXPECT_FALSE(acts());
@@ -86,7 +87,7 @@
 
 TEST_F(HolderTest, NothingIsHeldBeforeTheFirstLease) {
   answer(0, 5, {{"list/z", 3}});
-  EXPECT_TRUE(holder_.held().empty());
+  EXPECT_TRUE(holder_->held().empty());
 }
 
 wire::LogEntry entry(std::uint64_t index, const wire::Command& c) {
--- a/tests/group/membership_test.cpp
+++ b/tests/group/membership_test.cpp
@@ -172,6 +172,26 @@
   for (const auto& change : at("a").take_changes()) EXPECT_NE(change.to, wire::SUSPECT);
 }
 
+// Messages of a later release: what is not known is passed over, the rest of the frame counts.
+TEST_F(MembershipTest, AFrameOfALaterFormatIsReadAsFarAsItIsKnown) {
+  add("a");
+  wire::Frame known;
+  known.set_from("b");
+  known.set_to("a");
+  known.set_format(99);
+  auto* r = known.add_rumours();
+  r->set_name("b");
+  r->set_address("b:1");
+  r->set_incarnation(1);
+  std::string bytes = known.SerializeAsString();
+  bytes += std::string("\xc2\x3e\x02\x08\x01", 5);  // field 1000, a message
+  wire::Frame read;
+  ASSERT_TRUE(read.ParseFromString(bytes));
+  Out out;
+  at("a").receive(read, now_, out);
+  EXPECT_TRUE(at("a").is_there("b"));
+}
+
 TEST_F(MembershipTest, MoreNamesThanTheBoundAreNotRemembered) {
   add("a");
   wire::Frame frame;
