Chaos of processes ends only when every member holds discovery's newest list

Need: that a list or a drain that one member reads reaches all, through whichever holder, was only seen in passing. The rig stops the changes at the end and waits until each member tells the newest version; else the run is broken by name. /group tells the version.

--- a/lab/chaos/rig.cpp
+++ b/lab/chaos/rig.cpp
@@ -398,7 +398,7 @@
   void change() {
     changer_.expires_after(std::chrono::microseconds(kChangeEvery));
     changer_.async_wait([this](net::Fault f) {
-      if (f) return;
+      if (f || !stand_ins_changes_) return;
       stand_ins_->change();
       change();
     });
@@ -438,6 +438,31 @@
       wrong = what_is_wrong();
     }
     if (!wrong.empty()) report_.violations.push_back("not well again: " + wrong);
+    else await_lists(until);
+  }
+
+  // With the last change everybody hears of it, through whichever holder.
+  void await_lists(Micros until) {
+    std::int64_t newest = 0;
+    on_strand([&] {
+      stand_ins_changes_ = false;
+      changer_.cancel();
+      newest = stand_ins_->version();
+    });
+    std::string behind = "nobody has looked";
+    while (!behind.empty() && gone() < until && !stopped()) {
+      run_until(gone() + 200'000);
+      supervise();
+      behind.clear();
+      for (int i = 0; i < s_.members; ++i) {
+        const auto told = ask(ops_[index(i)]);
+        const std::int64_t version = told ? (*told)["list"]["version"].get<std::int64_t>() : -1;
+        if (version != newest)
+          behind = "n" + std::to_string(i) + " holds version " + std::to_string(version) + " of " +
+                   std::to_string(newest);
+      }
+    }
+    if (!behind.empty()) report_.violations.push_back("list not heard: " + behind);
   }
 
   void finish() {
@@ -604,6 +629,7 @@
   std::priority_queue<Due, std::vector<Due>, std::greater<>> dues_;
   std::uint64_t orders_ = 0;
   Micros begin_ = 0, worst_lag_ = 0;
+  bool stand_ins_changes_ = true;
   std::set<int> wanted_;  // to be up
   std::set<int> busy_;    // stopped: nobody asks them
   std::vector<std::pair<int, Micros>> stops_;
--- a/src/duty/list_share.h
+++ b/src/duty/list_share.h
@@ -27,6 +27,7 @@
 
   bool watches() const { return watches_; }  // as of the last call
   std::vector<roster::Members> take_lists() { return std::exchange(lists_, {}); }
+  std::int64_t version() const { return version_; }  // of the list that is held; -1: none
   const std::string& duty() const { return duty_; }
   Micros age(Micros now) const { return now - heard_ + told_age_; }
 
--- a/src/peer/group.cpp
+++ b/src/peer/group.cpp
@@ -272,7 +272,8 @@
                   {"dropped", t.dropped},
                   {"malformed", t.malformed},
                   {"connections", transport_->connections()}};
-  j["list"] = {{"watches", share_->watches()}, {"age_ms", share_->age(at) / 1000}};
+  j["list"] = {
+      {"watches", share_->watches()}, {"version", share_->version()}, {"age_ms", share_->age(at) / 1000}};
   j["members"] = nlohmann::json::array({{{"name", options_.name},
                                          {"address", options_.address},
                                          {"zone", options_.zone},
