--- a/src/duty/consensus.h
+++ b/src/duty/consensus.h
@@ -56,7 +56,7 @@
   void tick(Micros now, Out& out);
   void stored(std::uint64_t token, bool ok, Micros now, Out& out);
   void propose(const wire::Command& command, Out& out);  // of a leader
-  void step_aside(Micros now, Out& out);                 // before the end: another one leads sooner
+  void step_aside(Micros now, Out& out);                 // before the end: another voter leads at once
   Micros wake() const { return failed_ ? INT64_MAX : role_ == Role::leader ? beat_at_ : elect_at_; }
 
   std::vector<Write> take_writes() { return std::exchange(writes_, {}); }
@@ -96,6 +96,8 @@
   std::uint64_t last_index() const { return base_ + log_.size(); }
   std::uint64_t term_at(std::uint64_t index) const;
   const wire::LogEntry& entry(std::uint64_t index) const { return log_[index - base_ - 1]; }
+  // Entries that are kept behind a snapshot, for a voter that is a little behind.
+  std::uint64_t kept_behind() const { return static_cast<std::uint64_t>(options_.snapshot_entries) / 4; }
   std::size_t majority() const { return options_.voters.size() / 2 + 1; }
   bool may_vote() const;
   bool counts(const std::string& name, std::uint64_t disk) const;
@@ -109,7 +111,7 @@
   void set_term(std::uint64_t term, const std::string& vote);
   void follow(const std::string& leader, Micros now);
   void await_leader(Micros now);
-  void ask_votes(bool trial, Micros now, Out& out);
+  void ask_votes(bool trial, bool handed, Micros now, Out& out);
   void lead(Micros now, Out& out);
   void append(wire::LogEntry e, Write& w);
   void send_log(const std::string& to, Micros now, Out& out);
--- a/src/peer/group.cpp
+++ b/src/peer/group.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto kSweepEvery = std::chrono::milliseconds(500);
+constexpr std::size_t kDutiesInStatus = 20;
 constexpr auto kTryAgain = std::chrono::milliseconds(200);  // beside an older process that has not let go yet
 
 std::uint64_t wall_us() {
@@ -73,6 +74,10 @@
     if (auto* fault = std::get_if<std::string>(&opened)) return "group: " + *fault;
     store_ = std::move(std::get<std::unique_ptr<Store>>(opened));
     kept = store_->kept();
+    if (store_->was_copy())
+      spdlog::warn(
+          "group: folder {} was put back from a copy: it begins anew, and votes once the others have agreed",
+          options_.folder);
   }
   transport_ = std::move(transport);
   std::random_device chance;
@@ -143,7 +148,10 @@
 void Group::list_heard(const net::Members& news) {
   if (!share_ || stopped_) return;
   share_->heard(news, now());
-  pump();
+  list_changed_ = true;
+  boost::asio::post(strand_, [alive = alive_] {  // the engine takes the list first
+    if (*alive != nullptr) (*alive)->pump();
+  });
 }
 
 void Group::probed(const WorkerId& worker, Micros age, bool ok) {
@@ -173,6 +181,7 @@
   for (auto& list : share_->take_lists()) {
     spdlog::debug("list at version {} heard from the group, {} entries", list.version, list.entries.size());
     engine_.hear_list(std::move(list));
+    list_changed_ = true;
   }
   for (const auto& result : prober_->take_results()) engine_.hear_probe(result.worker, result.age, result.ok);
   for (const auto& order : prober_->take_orders()) carry_out(order);
@@ -180,7 +189,7 @@
     spdlog::info("group: {} discovery", watched_ ? "watches" : "leaves to others to watch");
     engine_.watch_list(watched_);
   }
-  if (options_.probe_workers > 0 && share_->watches()) {
+  if (options_.probe_workers > 0 && std::exchange(list_changed_, false)) {
     std::set<std::string> ids;
     for (const auto& m : engine_.whole_list().entries)
       if (m.info.phase == Phase::serving) ids.insert(m.info.id);
@@ -232,6 +241,13 @@
   if (node_->displaced()) line += ", another process has this name";
   if (const auto* c = node_->consensus(); c != nullptr && (c->failed() || c->stale()))
     line += ", its folder is of no use";
+  std::size_t told = 0;
+  for (const auto& [duty, number] : node_->holder().held()) {
+    if (++told > kDutiesInStatus) return line + "\n... /group has all";
+    const auto seconds = (now() - node_->holder().since(duty).value_or(now())) / 1'000'000;
+    line += "\nduty " + duty + " number " + std::to_string(number) + " for " + std::to_string(seconds) +
+            " s: " + why_[duty];
+  }
   return line;
 }
 
@@ -256,7 +272,8 @@
                   {"dropped", t.dropped},
                   {"malformed", t.malformed},
                   {"connections", transport_->connections()}};
-  j["list"] = {{"watches", share_->watches()}, {"age_ms", share_->age(at) / 1000}};
+  j["list"] = {
+      {"watches", share_->watches()}, {"version", share_->version()}, {"age_ms", share_->age(at) / 1000}};
   j["members"] = nlohmann::json::array({{{"name", options_.name},
                                          {"address", options_.address},
                                          {"zone", options_.zone},
