--- a/src/peer/store.cpp
+++ b/src/peer/store.cpp
@@ -66,7 +66,10 @@
     if (fault) throw Unusable(fault.message());
     const std::string path = folder + "/group.db";
     const int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX;
-    if (sqlite3_open_v2(path.c_str(), &db_, flags, faulty_disk(folder)) != SQLITE_OK) fail();
+    sqlite3* opened = nullptr;
+    const int result = sqlite3_open_v2(path.c_str(), &opened, flags, faulty_disk(folder));
+    db_.reset(opened);  // also of one that could not be opened: it holds why
+    if (result != SQLITE_OK) fail();
     // One process for as long as it lives; each commit is on the disk when it returns.
     for (const char* sql :
          {"PRAGMA locking_mode=EXCLUSIVE", "PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL"})
@@ -75,33 +78,30 @@
     run("COMMIT");
     check();
   }
-  ~Database() { sqlite3_close(db_); }
-  Database(const Database&) = delete;
-  Database& operator=(const Database&) = delete;
 
-  sqlite3* get() { return db_; }
+  sqlite3* get() { return db_.get(); }
   void run(const char* sql) {
-    if (sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK) fail();
+    if (sqlite3_exec(get(), sql, nullptr, nullptr, nullptr) != SQLITE_OK) fail();
   }
 
  private:
+  struct Close {
+    void operator()(sqlite3* db) const { sqlite3_close(db); }
+  };
   [[noreturn]] void fail() {
-    const int code = sqlite3_errcode(db_);
-    const std::string why = code == SQLITE_BUSY ? "in use by another process" : sqlite3_errmsg(db_);
-    sqlite3_close(db_);
-    db_ = nullptr;
-    throw Unusable(why);
+    throw Unusable(sqlite3_errcode(get()) == SQLITE_BUSY ? "in use by another process"
+                                                         : sqlite3_errmsg(get()));
   }
   void check() {
     std::uint64_t format = 0;
     {
-      Statement told(db_, "PRAGMA user_version");
+      Statement told(get(), "PRAGMA user_version");
       if (told.step() == SQLITE_ROW) format = told.number(0);
     }
     if (format > kFormat)
       throw Unusable("its format " + std::to_string(format) + " is newer than this program's");
     {
-      Statement damage(db_, "PRAGMA quick_check(1)");
+      Statement damage(get(), "PRAGMA quick_check(1)");
       if (damage.step() != SQLITE_ROW || damage.bytes(0) != "ok")
         throw Unusable("damaged: " + damage.bytes(0));
     }
@@ -114,7 +114,7 @@
     }
   }
 
-  sqlite3* db_ = nullptr;
+  std::unique_ptr<sqlite3, Close> db_;
 };
 
 void put(sqlite3* db, const char* name, std::uint64_t value, int& result) {
