--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -12,10 +12,21 @@
 
 namespace woadridge::lab {
 
-std::uint16_t free_port() {  // one that nobody has now
+// Below those that the system deals out by itself: a connection that goes out in the meantime can't take it.
+std::uint16_t free_port() {
+  constexpr int kFirst = 10'000, kCount = 20'000;
+  static int drawn = 0;
   boost::asio::io_context io;
-  net::Tcp::acceptor probe(io, net::Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return probe.local_endpoint().port();
+  for (int tries = 0; tries < kCount; ++tries) {
+    const int port = kFirst + (static_cast<int>(::getpid()) * 97 + ++drawn) % kCount;
+    net::Tcp::acceptor probe(io);
+    net::Fault fault;
+    probe.open(net::Tcp::v4(), fault);
+    probe.bind(net::Tcp::endpoint(boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)),
+               fault);
+    if (!fault) return static_cast<std::uint16_t>(port);
+  }
+  throw std::runtime_error("no free port");
 }
 
 Process::~Process() {
