--- a/src/duty/consensus.cpp
+++ b/src/duty/consensus.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "duty/planted.h"
+#include "text.h"
 
 namespace woadridge::duty {
 namespace {
@@ -10,20 +11,11 @@
 constexpr std::size_t kMostEntries = 256;    // in one frame
 constexpr std::size_t kMostBytes = 1 << 20;  // in one frame, about
 
-std::uint64_t mixed(std::uint64_t x) {  // splitmix64, as published
-  x += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 }  // namespace
 
 // The same wherever it is computed: the founding state names the folders of all voters.
 std::uint64_t founding_disk(const std::string& group, const std::string& name) {
-  std::uint64_t h = 1;
-  for (const char c : group + "/" + name) h = mixed(h ^ static_cast<unsigned char>(c));
-  return h | 1;
+  return fnv1a(group + "/" + name) | 1;
 }
 
 Kept founded(const group::Options& options) {
--- a/src/duty/registrar.cpp
+++ b/src/duty/registrar.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "duty/planted.h"
+#include "text.h"
 
 namespace woadridge::duty {
 namespace {
@@ -12,17 +13,11 @@
 constexpr std::string_view kList = "list/";
 constexpr std::string_view kProbe = "probe/";
 
-std::uint64_t hash_of(std::string_view text) {  // FNV-1a, as published
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return h;
-}
-
 }  // namespace
 
 std::uint64_t digest_of(const std::set<std::string>& duties) {
   std::uint64_t sum = 0;
-  for (const auto& d : duties) sum += hash_of(d);
+  for (const auto& d : duties) sum += fnv1a(d);
   return sum | 1;
 }
 
@@ -207,7 +202,7 @@
     auto& members = by_zone[zone_of(duty)];
     if (members.empty()) continue;
     if (static_cast<std::size_t>(c.assign_size()) >= kMostAtOnce) return;
-    const auto order = [&](const auto& m) { return std::pair(m.first, hash_of(duty + m.second.name)); };
+    const auto order = [&](const auto& m) { return std::pair(m.first, fnv1a(duty + m.second.name)); };
     auto& chosen = *std::min_element(members.begin(), members.end(),
                                      [&](const auto& a, const auto& b) { return order(a) < order(b); });
     ++chosen.first;
