--- a/lab/chaos/simulated.cpp
+++ b/lab/chaos/simulated.cpp
@@ -538,6 +538,9 @@
     if (s_.calm < gap_bound(s_.times)) return;
     for (const auto& [name, since] : empty_since_)
       if (since != 0) broken("no holder: " + name + " for " + std::to_string((now_ - since) / 1000) + " ms");
+    for (const auto& m : members_)
+      if (!m.up || m.paused || !m.node->holder().has_session(local(m)))
+        broken("no session: " + m.options.name);
     for (const auto& g : report_.gaps)
       report_.figures["gap_longest_ms"] =
           std::max(report_.figures["gap_longest_ms"], static_cast<double>(g) / 1e3);
