--- a/src/duty/registrar.cpp
+++ b/src/duty/registrar.cpp
@@ -248,9 +248,8 @@
     c.mutable_open()->set_zone(zone);
     some = true;
   }
-  // Nothing is pending here, so every close that was proposed is applied. Guards against a session that one entry
-  // has closed and opened again: left as closing, nobody would ever answer its member.
-  std::erase_if(live_, [](const auto& l) { return l.second.closing; });
+  std::erase_if(live_,
+                [&](const auto& l) { return l.second.closing && !ledger_.sessions().contains(l.first); });
   for (const auto& [who, open] : ledger_.sessions()) {
     if (live_.contains(who)) continue;
     live_[who].until =
