--- a/lab/chaos/stand_ins.cpp
+++ b/lab/chaos/stand_ins.cpp
@@ -153,11 +153,6 @@
   open_.clear();
 }
 
-int StandIns::watchers() const {
-  return static_cast<int>(
-      std::count_if(open_.begin(), open_.end(), [](const auto& c) { return c->watches(); }));
-}
-
 std::string StandIns::entry(int w) const {
   const nlohmann::json e{
       {"name", "w" + std::to_string(w)},
--- a/lab/chaos/stand_ins.h
+++ b/lab/chaos/stand_ins.h
@@ -24,7 +24,6 @@
   void change();  // one worker drains or is back: a new version of the list
   const std::vector<ChaosAct>& acts() const { return acts_; }  // of the workers, in their order
   int calls() const { return calls_; }
-  int watchers() const;
   const std::vector<std::pair<Micros, int>>& calls_by_time() const { return call_times_; }
   std::int64_t version() const { return version_; }
 
@@ -45,7 +44,6 @@
   std::set<std::shared_ptr<Call>> open_;
   std::set<int> draining_;
   std::int64_t version_ = 1;
-  std::vector<std::uint64_t> highest_;
   std::vector<std::map<std::string, std::uint64_t>> fences_;
   std::vector<ChaosAct> acts_;
   std::vector<std::pair<Micros, int>> call_times_;
--- a/src/duty/consensus.cpp
+++ b/src/duty/consensus.cpp
@@ -451,12 +451,12 @@
   o.match = std::max(o.match, answer.match_index());
   o.round = std::max(o.round, answer.round());
   o.answered = now;
-  count_rounds(now);
+  count_rounds();
   count_commits();
   if (o.next <= last_index() && o.sent == 0) send_log(from, now, out);
 }
 
-void Consensus::count_rounds(Micros) {
+void Consensus::count_rounds() {
   std::vector<std::uint64_t> rounds{round_};
   for (const auto& [name, o] : others_) rounds.push_back(o.round);
   std::sort(rounds.rbegin(), rounds.rend());
--- a/src/duty/consensus.h
+++ b/src/duty/consensus.h
@@ -117,7 +117,7 @@
   void send_log(const std::string& to, Micros now, Out& out);
   void send_snapshot(const std::string& to, Out& out);
   void count_commits();
-  void count_rounds(Micros now);
+  void count_rounds();
   void commit_up_to(std::uint64_t index);
 
   void on(const std::string& from, std::uint64_t disk, const wire::VoteAsk& ask, Micros now, Out& out);
--- a/src/duty/node.cpp
+++ b/src/duty/node.cpp
@@ -58,11 +58,6 @@
   return taken;
 }
 
-std::uint64_t Node::accepted(const std::string& duty) const {
-  const auto found = fences_.find(duty);
-  return found == fences_.end() ? 0 : found->second;
-}
-
 void Node::receive(const wire::Frame& frame, Micros now) {
   const bool from_here = frame.from() == options_.name && frame.run() == self_.run;
   if (frame.group() != options_.group || frame.from().empty()) {
--- a/src/duty/node.h
+++ b/src/duty/node.h
@@ -56,9 +56,7 @@
   bool accept(const std::string& duty, std::uint64_t number, const std::string& holder);
   void record_acts() { records_acts_ = true; }  // for who judges them
   std::vector<Act> take_acts() { return std::exchange(acts_, {}); }
-  std::uint64_t accepted(const std::string& duty) const;
   std::uint64_t refused() const { return refused_; }
-  void give_up(const std::string& duty, Micros now) { holder_.give_up(duty, now, out_); }
   void want(std::uint64_t digest) { holder_.want(digest); }
   bool take_want_all() { return holder_.take_want_all(); }
   void to_leader(wire::Frame frame);
--- a/src/duty/registrar.cpp
+++ b/src/duty/registrar.cpp
@@ -21,6 +21,11 @@
   return sum | 1;
 }
 
+// By the leader's clock: by then the member, by its own, has stopped.
+Micros Registrar::whole_lease() const {
+  return static_cast<Micros>(static_cast<double>(options_.lease) * (1 + 2 * options_.drift));
+}
+
 void Registrar::send(const std::string& to, wire::Frame frame, Out& out) {
   const auto address = address_of_(to);
   if (!address) return;
@@ -37,7 +42,7 @@
   wants_.clear();
   waiting_.clear();
   planned_index_ = 0;
-  const auto whole = static_cast<Micros>(static_cast<double>(options_.lease) * (1 + 2 * options_.drift));
+  const auto whole = whole_lease();
   const Micros wait = planted(Planted::no_wait_after_election) ? 0 : whole;
   for (const auto& [who, open] : ledger_.sessions()) live_[who].until = now + wait;
 }
@@ -130,7 +135,7 @@
     Live& live = found->second;
     if (live.closing && !planted(Planted::keep_closing)) continue;
     if (live.received > consensus_.confirmed() && !planted(Planted::keep_without_quorum)) continue;
-    const auto whole = static_cast<Micros>(static_cast<double>(options_.lease) * (1 + 2 * options_.drift));
+    const auto whole = whole_lease();
     live.until = std::max(live.until, live.received + whole);
     wire::Frame frame;
     fill(*frame.mutable_kept(), who, live.told);
@@ -252,8 +257,7 @@
                 [&](const auto& l) { return l.second.closing && !ledger_.sessions().contains(l.first); });
   for (const auto& [who, open] : ledger_.sessions()) {
     if (live_.contains(who)) continue;
-    live_[who].until =
-        now + static_cast<Micros>(static_cast<double>(options_.lease) * (1 + 2 * options_.drift));
+    live_[who].until = now + whole_lease();
   }
   some = close_one(c, now) || some;
   for (const auto number : std::exchange(to_give_up_, {}))
--- a/src/duty/registrar.h
+++ b/src/duty/registrar.h
@@ -35,6 +35,7 @@
     int spare = 0;  // duties more than its part
   };
 
+  Micros whole_lease() const;
   void begin(Micros now);
   void keep_alive(const Who& who, const wire::KeepAlive& k, Micros now, Out& out);
   void answer_confirmed(Out& out);
--- a/src/group/options.cpp
+++ b/src/group/options.cpp
@@ -20,7 +20,6 @@
 class Table {
  public:
   Table(const toml::table& table, std::string name) : table_(table), name_(std::move(name)) {}
-  ~Table() = default;
 
   std::string text(const char* key, bool needed = false) {
     const auto* node = look(key, needed);
