--- /dev/null
+++ b/src/toolbox/frames.cpp
@@ -0,0 +1,215 @@
+#include "toolbox/frames.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+
+namespace woadridge::toolbox {
+namespace {
+
+constexpr std::size_t kMostFrame = 16 << 20;  // bytes: a length beyond is junk
+constexpr std::size_t kHead = 4;
+constexpr std::size_t kRead = 16 * 1024;
+constexpr auto kAcceptAgain = std::chrono::milliseconds(20);  // after no descriptor was free
+
+std::uint32_t length_at(const std::string& in) {
+  const auto byte = [&](int i) { return static_cast<std::uint32_t>(static_cast<unsigned char>(in[i])); };
+  return byte(0) | byte(1) << 8 | byte(2) << 16 | byte(3) << 24;
+}
+
+}  // namespace
+
+Tcp::endpoint endpoint_of(const Place& place) {
+  Code ignored;
+  return {boost::asio::ip::make_address_v4(place.ip, ignored), place.port};
+}
+
+void watch_for_silence(Socket& socket, std::uint32_t silence_ms) {
+  Code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  if (silence_ms == 0) return;
+  const int fd = socket.native_handle();
+  const int on = 1, idle_s = std::max(1, static_cast<int>(silence_ms / 2000)), every_s = 1, times = 2;
+  const unsigned unanswered = silence_ms;
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &times, sizeof times);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unanswered, sizeof unanswered);
+}
+
+Wire::Wire(Socket socket) : socket_(std::move(socket)), limit_(socket_.get_executor()) {}
+
+std::shared_ptr<Wire> Wire::accepted(Socket socket) {
+  auto wire = std::shared_ptr<Wire>(new Wire(std::move(socket)));
+  wire->connected_ = true;
+  return wire;
+}
+
+std::shared_ptr<Wire> Wire::to(Strand strand, const Place& place, std::uint32_t silence_ms) {
+  auto wire = std::shared_ptr<Wire>(new Wire(Socket(strand)));
+  wire->connect(place, silence_ms);
+  return wire;
+}
+
+void Wire::connect(const Place& place, std::uint32_t silence_ms) {
+  Code fault;
+  socket_.open(Tcp::v4(), fault);
+  if (!fault) watch_for_silence(socket_, silence_ms);
+  auto self = shared_from_this();
+  if (silence_ms > 0) {  // a machine without power says nothing: the call to connect would hang
+    limit_.expires_after(std::chrono::milliseconds(silence_ms));
+    limit_.async_wait([self](Code stopped) {
+      if (!stopped && !self->connected_) self->end();
+    });
+  }
+  socket_.async_connect(endpoint_of(place), [self](Code failed) {
+    if (!self->open_) return;
+    if (failed) return self->end();
+    self->connected_ = true;
+    self->limit_.cancel();
+    if (self->started_) self->begin();
+  });
+}
+
+void Wire::start(OnFrame on_frame, OnEnd on_end) {
+  on_frame_ = std::move(on_frame);
+  on_end_ = std::move(on_end);
+  started_ = true;
+  if (connected_ && open_) begin();
+}
+
+void Wire::begin() {
+  Code ignored;
+  socket_.non_blocking(true, ignored);
+  read();
+  write();
+}
+
+void Wire::read() {
+  auto self = shared_from_this();
+  socket_.async_wait(Socket::wait_read, [self](Code failed) {
+    if (!self->open_) return;
+    if (failed) return self->end();
+    std::array<char, kRead> piece;
+    Code fault;
+    const auto bytes = self->socket_.read_some(boost::asio::buffer(piece), fault);
+    if (fault && fault != boost::asio::error::would_block) return self->end();
+    if (!fault) self->in_.append(piece.data(), bytes);
+    std::size_t at = 0;
+    while (self->open_ && self->in_.size() - at >= kHead) {
+      const auto length = length_at(self->in_.substr(at, kHead));
+      if (length > kMostFrame) return self->end();
+      if (self->in_.size() - at - kHead < length) break;
+      const std::string_view frame(self->in_.data() + at + kHead, length);
+      at += kHead + length;
+      self->on_frame_(frame);
+    }
+    if (!self->open_) return;
+    self->in_.erase(0, at);
+    if (self->in_.empty() && self->in_.capacity() > 4 * kRead) self->in_.shrink_to_fit();
+    self->read();
+  });
+}
+
+void Wire::send(std::string bytes) {
+  if (!open_) return;
+  const auto n = static_cast<std::uint32_t>(bytes.size());
+  std::string framed;
+  framed.reserve(kHead + bytes.size());
+  for (int shift = 0; shift < 32; shift += 8) framed += static_cast<char>(n >> shift & 0xff);
+  framed += bytes;
+  unsent_ += framed.size();
+  out_.push_back(std::move(framed));
+  if (connected_ && started_) write();
+}
+
+void Wire::write() {
+  if (writing_ || out_.empty() || !open_) return;
+  // What the system takes at once needs no wake-up.
+  while (!out_.empty()) {
+    Code fault;
+    const auto bytes = socket_.write_some(boost::asio::buffer(out_.front()), fault);
+    if (fault == boost::asio::error::would_block) break;
+    if (fault) {
+      auto self = shared_from_this();  // not from inside the caller's send()
+      boost::asio::post(socket_.get_executor(), [self] { self->end(); });
+      return;
+    }
+    unsent_ -= bytes;
+    if (bytes == out_.front().size()) out_.pop_front();
+    else out_.front().erase(0, bytes);
+  }
+  if (out_.empty()) return;
+  writing_ = true;
+  auto self = shared_from_this();
+  socket_.async_wait(Socket::wait_write, [self](Code failed) {
+    self->writing_ = false;
+    if (!self->open_) return;
+    if (failed) return self->end();
+    self->write();
+  });
+}
+
+void Wire::end() {
+  if (!open_) return;
+  auto told = std::move(on_end_);
+  close();
+  if (told) told();
+}
+
+void Wire::close() {
+  if (!open_) return;
+  open_ = false;
+  limit_.cancel();
+  Code ignored;
+  socket_.close(ignored);
+  on_end_ = nullptr;
+  // The frame handler may be what called: it goes with the next turn.
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->on_frame_ = nullptr; });
+}
+
+std::string Wire::peer_ip() const {
+  Code ignored;
+  return socket_.remote_endpoint(ignored).address().to_string();
+}
+
+Gate::Gate(Strand strand, OnWire on_wire) : acceptor_(strand), again_(strand), on_wire_(std::move(on_wire)) {}
+
+Result<void> Gate::open(const Place& place) {
+  Code fault;
+  acceptor_.open(Tcp::v4(), fault);
+  if (!fault) acceptor_.set_option(Acceptor::reuse_address(true), fault);
+  if (!fault) acceptor_.bind(endpoint_of(place), fault);
+  if (!fault) acceptor_.listen(256, fault);
+  if (fault) return Fault{Trouble::unreadable, place.text() + ": " + fault.message()};
+  accept();
+  return boost::outcome_v2::success();
+}
+
+void Gate::accept() {
+  acceptor_.async_accept([this](Code failed, Socket socket) {
+    if (failed == boost::asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!failed) {
+      watch_for_silence(socket, 0);
+      on_wire_(Wire::accepted(std::move(socket)));
+      return accept();
+    }
+    again_.expires_after(kAcceptAgain);
+    again_.async_wait([this](Code stopped) {
+      if (!stopped && acceptor_.is_open()) accept();
+    });
+  });
+}
+
+void Gate::close() {
+  Code ignored;
+  acceptor_.close(ignored);
+  again_.cancel();
+}
+
+}  // namespace woadridge::toolbox
--- a/src/toolbox/frames.h
+++ b/src/toolbox/frames.h
@@ -18,6 +18,7 @@
 
 namespace woadridge::toolbox {
 
+using Code = net::Fault;  // an error of the system's; Fault is the layer's own
 using net::Acceptor;
 using net::Socket;
 using net::Strand;
@@ -27,7 +28,8 @@
 template <class Message>
 std::string pack(const Message& message) {
   std::ostringstream out;
-  cereal::BinaryOutputArchive(out)(message);
+  cereal::BinaryOutputArchive archive(out);
+  archive(message);
   return std::move(out).str();
 }
 
