--- a/src/decide.h
+++ b/src/decide.h
@@ -35,6 +35,7 @@
   double late_worth = 0;  // share of the worth earned after the aim
   double worth = 1;
   std::string worker_kind;  // the only kind that can run it; empty: any
+  int max_attempts = 0;     // 0: the settings' own
   bool operator==(const ClassSettings&) const = default;
 };
 
@@ -88,6 +89,7 @@
   double size = 1;     // live weights: the nominal size divided by 1 + requests held a core
   Micros started = 0;  // time of the last start; 0: long ago
   Phase phase = Phase::serving;
+  double slots = 0;  // what it is known to hold at once; 0: not told
 };
 
 struct Start {
--- /dev/null
+++ b/src/lathe/call.h
@@ -0,0 +1,59 @@
+// A request on its way through the proxy, and its answer.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "decide.h"
+
+namespace woadridge::lathe {
+
+struct Reply {
+  int status = 502;
+  std::string head;     // whole header lines that go along; framing and connection are the connection's own
+  std::string body;
+  double retry_after_s = 0;  // 0: not said
+  bool own = true;           // made here, not by an instance
+};
+
+class Asker {  // who waits for the answer
+ public:
+  virtual ~Asker() = default;
+  virtual void reply(Reply reply) = 0;
+};
+
+struct Call {
+  std::string_view method, target, body;  // slices of the message
+  std::shared_ptr<const void> held;       // keeps them
+  std::string head;  // header lines that go along; without those that concern one connection or are ours
+  std::string id;    // of this try of the client's
+  std::string route, service;
+  bool repeatable = false;
+  bool from_peer = false;  // it has come to its home, or to who is taken for it
+  std::uint32_t max_tries = 1;
+  Micros aim = 0;  // the span inside which an answer earns its full worth
+  Micros longest = 0;  // the route's deadline
+  Micros came = 0;
+  Micros deadline = 0;  // the answer must be on its way by then
+  int passed_on = 0;    // times that it was sent to a peer
+  std::weak_ptr<Asker> asker;
+};
+
+using CallRef = std::shared_ptr<Call>;
+
+inline void answer(const CallRef& call, Reply reply) {
+  if (auto asker = call->asker.lock()) asker->reply(std::move(reply));
+}
+
+// The headers of the platform's own.
+inline constexpr std::string_view kAttemptId = "X-Woadridge-Attempt-Id";
+inline constexpr std::string_view kDeadline = "X-Woadridge-Deadline-Ms";
+inline constexpr std::string_view kTarget = "X-Woadridge-Target-Instance";
+inline constexpr std::string_view kSeal = "X-Woadridge-Instance-Seal";
+inline constexpr std::string_view kNotExecuted = "X-Woadridge-Not-Executed";
+// Between two proxies: the route as the first one saw it, so that the home's older or newer plan decides nothing.
+inline constexpr std::string_view kVia = "X-Woadridge-Via";
+bool goes_along(std::string_view header);  // not of one connection, nor written anew at each hop
+
+}  // namespace woadridge::lathe
--- /dev/null
+++ b/src/lathe/desk.h
@@ -0,0 +1,72 @@
+// What the proxy knows of the platform, and where each call goes: to its function's home, here or at a peer.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "lathe/router.h"
+#include "lathe/station.h"
+#include "toolbox/settings.h"
+
+namespace woadridge::lathe {
+
+class Desk {
+ public:
+  using OnReport = std::function<void(const toolbox::Report&)>;
+  Desk(net::Strand strand, toolbox::Settings settings);
+
+  void take(CallRef call);
+  void told(const toolbox::News& news);
+  void on_report(OnReport tell) { tell_ = std::move(tell); }
+  void leave(Micros at);  // told to end: no home from now on, what is open is answered by then
+  void stop();
+  bool ready() const { return board_.plan.version > 0 && board_.term > 0 && !leaving_; }
+  bool leaving() const { return leaving_; }
+  std::size_t open() const;
+  void change(toolbox::Settings settings) { settings_ = std::move(settings); }
+
+  const Router& router() const { return router_; }
+  const toolbox::Board& board() const { return board_; }
+  const toolbox::Settings& settings() const { return settings_; }
+  const net::Clock& clock() const { return clock_; }
+  net::BufferSpace& space() { return space_; }
+  Alarms& alarms() { return alarms_; }
+  Errands& errands() { return errands_; }
+  Micros now() const { return clock_.now(); }
+
+  // For the stations.
+  bool is_home(const std::string& service);
+  void has_news(Station& station);
+  void reached(const std::string& instance);
+  void refused_connection(const std::string& instance);
+
+ private:
+  const toolbox::Peer* home(const std::string& service);  // null: this proxy
+  Station& station(const std::string& service);
+  void pass_on(CallRef call, const toolbox::Peer& peer);
+  void passed(CallRef call, std::string peer, ErrandEnd end);
+  void show(const std::string& service);
+  void report_in(Micros span);
+  void report();
+
+  toolbox::Settings settings_;
+  net::Clock clock_;
+  net::BufferSpace space_;
+  Alarms alarms_;
+  Errands errands_;
+  Router router_;
+  toolbox::Board board_;
+  std::map<std::string, std::unique_ptr<Station>> stations_;
+  std::map<std::string, std::vector<std::size_t>> homes_;  // as they come; forgotten when the peers change
+  std::map<std::string, Micros> down_until_;               // peers that could not be reached
+  std::map<std::string, int> refusals_;                    // connections that an instance has refused
+  std::set<std::string> touched_;                          // stations with something to report
+  toolbox::Report next_;
+  OnReport tell_;
+  Micros report_at_ = 0;  // 0: none is due
+  bool leaving_ = false;
+};
+
+}  // namespace woadridge::lathe
--- /dev/null
+++ b/src/lathe/errands.cpp
@@ -0,0 +1,331 @@
+#include "lathe/errands.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+#include <charconv>
+
+#include "toolbox/frames.h"
+
+namespace woadridge::lathe {
+namespace {
+
+using net::Fault;
+using net::HttpReader;
+
+constexpr Micros kConnect = 400'000;  // on links of tens of milliseconds: a lost opening packet is tried elsewhere
+constexpr std::uint32_t kSilence = 1500;  // milliseconds in which a peer without power is noticed
+constexpr Micros kIdleUntold = 4'000'000;  // a kept connection whose other end said no time
+constexpr double kIdlePart = 0.7;  // of the time that was said: a request must not cross the close
+constexpr Micros kSweep = 1'000'000;
+constexpr int kExtras = 3;  // answers of earlier requests that are read away before one connection is given up
+constexpr net::HttpLimits kAnswerLimits{16 * 1024, 8 << 20};
+
+double number(std::string_view text) {
+  double value = 0;
+  const auto [stop, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return bad == std::errc() && stop == text.data() + text.size() && value >= 0 ? value : 0;
+}
+
+Micros told_idle(std::string_view keep_alive) {  // "timeout=5, max=100"
+  const auto at = keep_alive.find("timeout=");
+  if (at == std::string_view::npos) return kIdleUntold;
+  const auto digits = keep_alive.substr(at + 8);
+  const double seconds = number(digits.substr(0, digits.find_first_not_of("0123456789")));
+  return static_cast<Micros>(kIdlePart * seconds * 1e6);
+}
+
+}  // namespace
+
+bool goes_along(std::string_view header) {
+  static constexpr std::array<std::string_view, 13> kStay = {
+      "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Expect",  "Upgrade",    "TE",
+      "Trailer",    "Proxy-Connection", kDeadline,         kTarget,      kVia,      "Retry-After"};
+  return std::none_of(kStay.begin(), kStay.end(), [&](auto name) { return net::same_name(name, header); });
+}
+
+class Errands::Line : public std::enable_shared_from_this<Line> {
+ public:
+  Line(Errands& all, toolbox::Place place)
+      : all_(all), place_(std::move(place)), socket_(all.strand_), limit_(all.strand_),
+        reader_(HttpReader::Side::answers, kAnswerLimits, &all.space_) {}
+
+  void connect(Micros limit) {
+    Fault fault;
+    socket_.open(net::Tcp::v4(), fault);
+    if (!fault) toolbox::watch_for_silence(socket_, kSilence);
+    auto self = shared_from_this();
+    limit_.expires_after(std::chrono::microseconds(limit));
+    limit_.async_wait([self](Fault stopped) {
+      if (!stopped && !self->connected_) self->fail(ErrandEnd::How::no_connection);
+    });
+    socket_.async_connect(toolbox::endpoint_of(place_), [self](Fault failed) {
+      if (self->closed_) return;
+      if (failed) return self->fail(ErrandEnd::How::no_connection);
+      self->connected_ = true;
+      self->limit_.cancel();
+      Fault ignored;
+      self->socket_.non_blocking(true, ignored);
+      self->wait_read();
+      if (self->on_reach_) {
+        auto told = std::exchange(self->on_reach_, nullptr);
+        if (self->number_ == 0) self->all_.idle(self);
+        told(true);
+      }
+      if (self->number_ != 0) self->write();
+    });
+  }
+
+  void carry(std::uint64_t errand_number, Errand errand, OnEnd on_end) {
+    number_ = errand_number;
+    errand_ = std::move(errand);
+    on_end_ = std::move(on_end);
+    sent_ = 0;
+    extras_ = 0;
+    if (connected_) write();
+  }
+
+  // A connection that its other end has closed shows that only when asked.
+  bool still_open() {
+    if (!connected_ || closed_) return false;
+    char byte;
+    Fault fault;
+    socket_.receive(boost::asio::buffer(&byte, 1), net::Socket::message_peek, fault);
+    return fault == boost::asio::error::would_block;
+  }
+
+  void close() {
+    if (std::exchange(closed_, true)) return;
+    limit_.cancel();
+    Fault ignored;
+    socket_.close(ignored);
+    on_end_ = nullptr;
+    all_.gone(shared_from_this());
+  }
+
+  void on_reach(OnReach told) { on_reach_ = std::move(told); }
+  bool idle() const { return number_ == 0; }
+  Micros idle_until = 0;
+  const toolbox::Place& place() const { return place_; }
+  std::uint64_t carried() const { return number_; }
+
+ private:
+  void write() {
+    const std::size_t all = errand_.head.size() + errand_.body.size();
+    while (sent_ < all) {
+      Fault fault;
+      std::array<boost::asio::const_buffer, 2> pieces;
+      const std::size_t head = errand_.head.size();
+      if (sent_ < head) pieces[0] = boost::asio::buffer(errand_.head.data() + sent_, head - sent_);
+      const std::size_t from = sent_ > head ? sent_ - head : 0;
+      pieces[1] = boost::asio::buffer(errand_.body.data() + from, errand_.body.size() - from);
+      const auto bytes = socket_.write_some(pieces, fault);
+      if (fault == boost::asio::error::would_block) {
+        auto self = shared_from_this();
+        socket_.async_wait(net::Socket::wait_write, [self, n = number_](Fault failed) {
+          if (self->closed_ || self->number_ != n) return;
+          if (failed) return self->fail(ErrandEnd::How::unsent);
+          self->write();
+        });
+        return;
+      }
+      if (fault) {  // not from inside start()
+        auto self = shared_from_this();
+        boost::asio::post(socket_.get_executor(), [self] { self->fail(ErrandEnd::How::unsent); });
+        return;
+      }
+      sent_ += bytes;
+    }
+  }
+
+  bool all_sent() const { return sent_ == errand_.head.size() + errand_.body.size(); }
+
+  void wait_read() {
+    auto self = shared_from_this();
+    socket_.async_wait(net::Socket::wait_read, [self](Fault failed) {
+      if (self->closed_) return;
+      if (failed) return self->fail(self->broken());
+      self->read();
+    });
+  }
+
+  // Before the last byte was taken by the system it can't have been read whole.
+  ErrandEnd::How broken() const { return all_sent() ? ErrandEnd::How::broken : ErrandEnd::How::unsent; }
+
+  void read() {
+    // Nobody asked: bytes that belong to no request, or the other end's close.
+    if (number_ == 0) return close();
+    const auto room = reader_.room();
+    if (room.empty()) return fail(broken());
+    Fault fault;
+    const auto bytes = socket_.read_some(boost::asio::buffer(room.data(), room.size()), fault);
+    if (fault == boost::asio::error::would_block) return wait_read();
+    if (fault) {
+      if (fault == boost::asio::error::eof) reader_.ended();
+      if (reader_.state() != HttpReader::State::complete) return fail(broken());
+      return take_answer(false);
+    }
+    reader_.arrived(bytes);
+    digest();
+  }
+
+  void digest() {
+    while (!closed_) {
+      if (reader_.state() == HttpReader::State::failed) return fail(broken());
+      if (reader_.state() != HttpReader::State::complete) return wait_read();
+      const auto id = reader_.header(kAttemptId);
+      if (id.empty() || id == errand_.id) return take_answer(reader_.keep_alive() && reader_.nothing_behind());
+      // Guards against one answer too many of an earlier request, late, in the place of ours.
+      if (++extras_ > kExtras || !reader_.keep_alive()) return fail(broken());
+      reader_.next();
+    }
+  }
+
+  void take_answer(bool keep) {
+    ErrandEnd end;
+    end.how = ErrandEnd::How::answered;
+    end.status = reader_.status();
+    end.named = !reader_.header(kAttemptId).empty();
+    end.sealed = !reader_.header(kSeal).empty();
+    end.not_executed = !reader_.header(kNotExecuted).empty();
+    end.encoded = !reader_.header("Content-Encoding").empty();
+    end.retry_after_s = number(reader_.header("Retry-After"));
+    end.body = std::string(reader_.body());
+    reader_.each_header([&](auto name, auto value) {
+      if (goes_along(name)) net::write_header(end.head, name, value);
+    });
+    const Micros idle_for = told_idle(reader_.header("Keep-Alive"));
+    auto told = std::move(on_end_);
+    all_.out_.erase(number_);
+    number_ = 0;
+    // An answer before all of it was sent: what is left would be taken for the next request.
+    keep = keep && all_sent() && idle_for > 0;
+    errand_ = {};
+    sent_ = 0;
+    if (keep) {
+      reader_.next();
+      idle_until = all_.clock_.now() + idle_for;
+      all_.idle(shared_from_this());
+      wait_read();
+    } else {
+      close();
+    }
+    told(std::move(end));
+  }
+
+  void fail(ErrandEnd::How how) {
+    if (closed_) return;
+    auto told = std::move(on_end_);
+    auto reached = std::move(on_reach_);
+    const auto carried = std::exchange(number_, 0);
+    auto self = shared_from_this();
+    close();
+    if (carried != 0) all_.out_.erase(carried);
+    if (reached) reached(false);
+    if (told) told(ErrandEnd{how, 0, {}, {}, false, false, false, false, 0});
+  }
+
+  Errands& all_;
+  toolbox::Place place_;
+  net::Socket socket_;
+  net::Timer limit_;
+  HttpReader reader_;
+  Errand errand_;
+  OnEnd on_end_;
+  OnReach on_reach_;
+  std::uint64_t number_ = 0;
+  std::size_t sent_ = 0;
+  int extras_ = 0;
+  bool connected_ = false, closed_ = false;
+};
+
+Errands::Errands(net::Strand strand, const net::Clock& clock, Alarms& alarms, net::BufferSpace& space)
+    : strand_(strand), clock_(clock), alarms_(alarms), space_(space) {}
+
+Errands::~Errands() = default;
+
+std::uint64_t Errands::start(Errand errand, OnEnd on_end) {
+  LineRef line = idle_line(errand.to);
+  if (!line) line = line_to(errand.to);
+  const auto number = ++last_;
+  out_[number] = line;
+  line->carry(number, std::move(errand), std::move(on_end));
+  return number;
+}
+
+Errands::LineRef Errands::idle_line(const toolbox::Place& place) {
+  const auto found = idle_.find(place);
+  if (found == idle_.end()) return nullptr;
+  auto& lines = found->second;
+  while (!lines.empty()) {
+    LineRef line = lines.back();
+    lines.pop_back();
+    if (line->idle_until > clock_.now() && line->still_open()) return line;
+    line->close();
+  }
+  return nullptr;
+}
+
+Errands::LineRef Errands::line_to(const toolbox::Place& place) {
+  auto line = std::make_shared<Line>(*this, place);
+  lines_[line.get()] = line;
+  line->connect(kConnect);
+  return line;
+}
+
+void Errands::reach(const toolbox::Place& place, Micros limit, OnReach on_reach) {
+  auto line = std::make_shared<Line>(*this, place);
+  lines_[line.get()] = line;
+  line->on_reach(std::move(on_reach));
+  line->idle_until = clock_.now() + kIdleUntold;
+  line->connect(limit);
+}
+
+void Errands::drop(std::uint64_t number) {
+  const auto found = out_.find(number);
+  if (found == out_.end()) return;
+  const LineRef line = found->second;
+  out_.erase(found);
+  line->close();
+}
+
+void Errands::forget(const toolbox::Place& place) {
+  const auto found = idle_.find(place);
+  if (found == idle_.end()) return;
+  const auto lines = std::move(found->second);
+  idle_.erase(found);
+  for (const auto& line : lines) line->close();
+}
+
+void Errands::idle(const LineRef& line) {
+  idle_[line->place()].push_back(line);
+  if (std::exchange(sweeping_, true)) return;
+  alarms_.at(clock_.now() + kSweep, [this] { sweep(); });
+}
+
+void Errands::gone(const LineRef& line) {
+  const auto found = idle_.find(line->place());
+  if (found != idle_.end()) std::erase(found->second, line);
+  lines_.erase(line.get());
+}
+
+void Errands::sweep() {
+  sweeping_ = false;
+  std::vector<LineRef> old;
+  for (const auto& [place, lines] : idle_)
+    for (const auto& line : lines)
+      if (line->idle_until <= clock_.now()) old.push_back(line);
+  for (const auto& line : old) line->close();
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+  if (idle_.empty() || std::exchange(sweeping_, true)) return;
+  alarms_.at(clock_.now() + kSweep, [this] { sweep(); });
+}
+
+void Errands::stop() {
+  std::vector<LineRef> all;
+  for (const auto& [at, line] : lines_) all.push_back(line);
+  for (const auto& line : all) line->close();
+  out_.clear();
+}
+
+}  // namespace woadridge::lathe
--- /dev/null
+++ b/src/lathe/errands.h
@@ -0,0 +1,71 @@
+// Requests that go out, to instances and to peers: one at a time on a connection, connections kept.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "lathe/alarms.h"
+#include "lathe/call.h"
+#include "net/http.h"
+#include "toolbox/settings.h"
+
+namespace woadridge::lathe {
+
+struct Errand {
+  toolbox::Place to;
+  std::string id;    // of the try: an answer that names another is none of ours
+  std::string head;  // whole, with its empty line
+  std::string_view body;
+  std::shared_ptr<const void> held;  // keeps the body
+};
+
+struct ErrandEnd {
+  // unsent: not all of it was taken by the system, so it can't have been read whole; broken: it may have run.
+  enum class How { no_connection, unsent, broken, answered };
+  How how = How::no_connection;
+  int status = 0;
+  std::string head, body;  // of an answer
+  bool sealed = false, not_executed = false, encoded = false, named = false;  // what its head says
+  double retry_after_s = 0;
+};
+
+class Errands {
+ public:
+  using OnEnd = std::function<void(ErrandEnd)>;
+  using OnReach = std::function<void(bool)>;
+  Errands(net::Strand strand, const net::Clock& clock, Alarms& alarms, net::BufferSpace& space);
+  ~Errands();
+
+  std::uint64_t start(Errand errand, OnEnd on_end);  // its number; the end never comes from inside the call
+  void drop(std::uint64_t number);  // its connection closes; no end is told
+  // Tries to connect; a connection that came up is kept for the first errand.
+  void reach(const toolbox::Place& place, Micros limit, OnReach on_reach);
+  void forget(const toolbox::Place& place);  // idle connections there are closed: another may have the address
+  void stop();
+  std::size_t open() const { return lines_.size(); }
+
+ private:
+  class Line;
+  friend class Line;
+  using LineRef = std::shared_ptr<Line>;
+  LineRef line_to(const toolbox::Place& place);
+  LineRef idle_line(const toolbox::Place& place);
+  void idle(const LineRef& line);
+  void gone(const LineRef& line);
+  void sweep();
+
+  net::Strand strand_;
+  const net::Clock& clock_;
+  Alarms& alarms_;
+  net::BufferSpace& space_;
+  std::map<toolbox::Place, std::vector<LineRef>> idle_;  // the latest used last
+  std::map<std::uint64_t, LineRef> out_;
+  std::map<Line*, LineRef> lines_;
+  std::uint64_t last_ = 0;
+  bool sweeping_ = false, stopped_ = false;
+};
+
+}  // namespace woadridge::lathe
--- /dev/null
+++ b/src/lathe/front.h
@@ -0,0 +1,43 @@
+// Where requests come in: clients, other proxies, and those who ask whether this one is ready.
+#pragma once
+
+#include <list>
+#include <memory>
+
+#include "lathe/desk.h"
+
+namespace woadridge::lathe {
+
+enum class Door { clients, peers, readiness };
+
+class Front {
+ public:
+  Front(net::Strand strand, Desk& desk);
+  ~Front();
+  toolbox::Result<void> open(Door door, const toolbox::Place& place);
+  void close_door(Door door);
+  void leave();  // answers from now on close their connections, and those that stand idle are closed
+  void stop();
+  std::size_t busy() const { return busy_; }  // connections whose request has no whole answer yet
+
+ private:
+  class Visitor;
+  friend class Visitor;
+  struct Entrance {
+    Door door;
+    net::Acceptor acceptor;
+    net::Timer again;
+  };
+  void accept(Entrance& entrance);
+  void sweep();
+  void make_room();
+
+  net::Strand strand_;
+  Desk& desk_;
+  std::list<Entrance> entrances_;
+  std::list<std::shared_ptr<Visitor>> visitors_;  // those that came or asked last are last
+  std::size_t busy_ = 0;
+  bool leaving_ = false, stopped_ = false;
+};
+
+}  // namespace woadridge::lathe
--- /dev/null
+++ b/src/lathe/main.cpp
@@ -0,0 +1,137 @@
+// The proxy: takes clients' requests and sends them on, by what its agent tells.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/outcome/try.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "lathe/feed.h"
+#include "lathe/front.h"
+#include "toolbox/log.h"
+
+ABSL_FLAG(std::string, settings, "", "the node's settings file (TOML); else the one that WOADRIDGE_CONFIG names");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
+
+namespace woadridge::lathe {
+namespace {
+
+constexpr Micros kSteeredAway = 2'600'000;  // two missed looks a second apart, and what they take: no new clients
+constexpr Micros kEndAhead = 700'000;  // before the grace ends everything is answered
+constexpr auto kLook = std::chrono::milliseconds(50);
+
+class Proxy {
+ public:
+  Proxy(boost::asio::io_context& loop, toolbox::Settings settings)
+      : strand_(boost::asio::make_strand(loop)), desk_(strand_, std::move(settings)), front_(strand_, desk_),
+        feed_(strand_, desk_), signals_(strand_, SIGTERM, SIGINT, SIGHUP), look_(strand_) {}
+
+  toolbox::Result<void> open() {
+    const auto& s = desk_.settings();
+    BOOST_OUTCOME_TRYV(front_.open(Door::clients, s.front));
+    if (s.readiness.port != 0) BOOST_OUTCOME_TRYV(front_.open(Door::readiness, s.readiness));
+    BOOST_OUTCOME_TRYV(front_.open(Door::peers, s.peer_link()));
+    feed_.start();
+    listen();
+    return boost::outcome_v2::success();
+  }
+
+ private:
+  void listen() {
+    signals_.async_wait([this](net::Fault stopped, int signal) {
+      if (stopped) return;
+      if (signal == SIGHUP) reload();
+      else if (!desk_.leaving()) leave();
+      else return end();  // asked twice
+      listen();
+    });
+  }
+
+  void reload() {
+    auto read = toolbox::load_settings_or(absl::GetFlag(FLAGS_settings));
+    if (!read) return toolbox::warning("settings not taken", {{"why", read.error().what}});
+    desk_.change(read.value());
+    toolbox::info("settings read again");
+  }
+
+  // Not ready any more: new clients are steered elsewhere, those that are here are answered, then it ends.
+  void leave() {
+    toolbox::info("leaving");
+    left_at_ = desk_.now();
+    const auto grace = static_cast<Micros>(desk_.settings().grace_s) * 1'000'000;
+    end_by_ = left_at_ + std::max<Micros>(grace - kEndAhead, grace / 2);
+    desk_.leave(end_by_);
+    front_.leave();
+    look();
+  }
+
+  void look() {
+    look_.expires_after(kLook);
+    look_.async_wait([this](net::Fault stopped) {
+      if (stopped) return;
+      const Micros now = desk_.now();
+      const bool steered = now - left_at_ >= std::min(kSteeredAway, (end_by_ - left_at_) / 2);
+      if (steered) front_.close_door(Door::clients);
+      if ((steered && front_.busy() == 0) || now >= end_by_) return end();
+      look();
+    });
+  }
+
+  void end() {
+    feed_.stop();
+    front_.stop();
+    desk_.stop();
+    signals_.cancel();
+    look_.cancel();
+  }
+
+  net::Strand strand_;
+  Desk desk_;
+  Front front_;
+  Feed feed_;
+  boost::asio::basic_signal_set<net::Strand> signals_;
+  net::Timer look_;
+  Micros left_at_ = 0, end_by_ = 0;
+};
+
+int serve(const std::string& file, const std::string& level) {
+  auto settings = toolbox::load_settings_or(file);
+  if (!settings) {
+    std::cerr << "lathe: " << settings.error().what << "\n";
+    return 2;
+  }
+  if (settings.value().front.port == 0) {
+    std::cerr << "lathe: bind-addrs.front-http: is not there\n";
+    return 2;
+  }
+  const auto least = toolbox::level_named(level);
+  if (!least) {
+    std::cerr << "lathe: --log_level: debug, info, warning or error\n";
+    return 2;
+  }
+  toolbox::open_log("lathe", settings.value().node_name, *least);
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context loop(1);
+  Proxy proxy(loop, std::move(settings.value()));
+  if (const auto opened = proxy.open(); !opened) {
+    std::cerr << "lathe: cannot listen: " << opened.error().what << "\n";
+    return 1;
+  }
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace woadridge::lathe
+
+int main(int count, char** words) {
+  absl::SetProgramUsageMessage("The proxy of the platform: lathe [--settings FILE] [--log_level LEVEL]");
+  const auto rest = absl::ParseCommandLine(count, words);
+  if (rest.size() > 1) {
+    std::cerr << "lathe: what is '" << rest[1] << "'? --help lists the flags\n";
+    return 2;
+  }
+  return woadridge::lathe::serve(absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_log_level));
+}
--- /dev/null
+++ b/src/lathe/router.h
@@ -0,0 +1,27 @@
+// Which route a request takes: of its host's routes the one with the longest prefix of the path.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "toolbox/messages.h"
+
+namespace woadridge::lathe {
+
+class Router {
+ public:
+  void take(const toolbox::Plan& plan);
+  const toolbox::Route* route(std::string_view host, std::string_view target) const;  // null: none
+
+ private:
+  struct Hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
+  };
+  // Host and prefix -> route. Prefixes end with a slash, so each slash of a path is a place to look.
+  std::unordered_map<std::string, toolbox::Route, Hash, std::equal_to<>> routes_;
+};
+
+}  // namespace woadridge::lathe
--- /dev/null
+++ b/src/lathe/station.cpp
@@ -0,0 +1,343 @@
+#include "lathe/station.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "lathe/desk.h"
+#include "text.h"
+
+namespace woadridge::lathe {
+namespace {
+
+constexpr Micros kAhead = 6'000;  // an answer leaves so long before the client gives up: a busy core's delay
+constexpr Micros kStopAhead = 4'000;  // an instance stops so long before that, and says so itself
+constexpr double kEstimateWeight = 0.1;  // of a new answer's time in the estimate of its like
+constexpr Micros kMostHoldOff = 2'000'000;  // longer advice would outlast most of what refuses
+constexpr double kBudgetPart = 0.5;  // of the shared budget: homes overlap for a moment, and peers try again too
+constexpr double kPollFrom = 0.55;   // of the mean start: few are up earlier
+constexpr Micros kPollLeast = 40'000;
+constexpr double kPollPart = 0.06;   // of the mean start between two looks
+constexpr Micros kPollConnect = 400'000;
+constexpr int kMostPolls = 120;  // one that never comes up is the holder's to see
+
+std::string lost_class(bool repeatable) { return repeatable ? "r" : "m"; }
+
+}  // namespace
+
+Station::Station(Desk& desk, std::string service, std::uint64_t seed)
+    : desk_(desk), service_(std::move(service)) {
+  settings_.seed = seed;
+  settings_.list_mode = ListMode::pushed;
+  settings_.weights = Weights::none;
+  settings_.may_hold_off = true;
+  settings_.max_hold_off = kMostHoldOff;
+  settings_.connect_timeout = kPollConnect;
+  settings_.max_attempts = 1;
+  demand_.service = service_;
+  give(Start{settings_});
+}
+
+// A class for each manner of route: what differs for the decisions, so that a plan's change needs no other one.
+std::string Station::class_for(const Call& call) {
+  const std::string name = lost_class(call.repeatable) + std::to_string(call.max_tries) + "/" +
+                           std::to_string(call.aim) + "/" + std::to_string(call.longest);
+  auto& classes = settings_.classes;
+  if (std::any_of(classes.begin(), classes.end(), [&](auto& c) { return c.name == name; })) return name;
+  ClassSettings made;
+  made.name = name;
+  made.effect = call.repeatable ? Effect::safe : Effect::unsafe;
+  made.aim = call.aim;
+  made.deadline = call.longest;
+  made.late_worth = 0.5;  // some: what is late still counts as served
+  made.max_attempts = static_cast<int>(std::max<std::uint32_t>(1, call.max_tries));
+  classes.push_back(made);
+  settings_.max_attempts = std::max(settings_.max_attempts, made.max_attempts);
+  give(Change{settings_});
+  tell_list();
+  return name;
+}
+
+std::string Station::estimate_key(const Call& call) const {
+  return call.route + "/" + std::to_string(std::bit_width(call.body.size()));
+}
+
+void Station::take(CallRef call) {
+  const Micros now = desk_.now();
+  ++demand_.arrivals;
+  Arrival arrival;
+  arrival.class_name = class_for(*call);
+  arrival.id = ++last_;
+  arrival.time_left = std::max<Micros>(1, call->deadline - kAhead - now);
+  Open open;
+  open.estimate_key = estimate_key(*call);
+  if (const auto found = estimates_.find(open.estimate_key); found != estimates_.end())
+    arrival.hint = static_cast<Micros>(found->second);
+  open.call = std::move(call);
+  open_.emplace(arrival.id, std::move(open));
+  ++held_;
+  firsts_.push_back(now);
+  give(std::move(arrival));
+  demand_.most_busy = std::max(demand_.most_busy, static_cast<std::uint32_t>(busy_ + held_));
+  desk_.has_news(*this);
+}
+
+void Station::give(Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(giving_, true)) return;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    const Event next = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    module_.handle(desk_.now(), next, actions);
+    for (const auto& action : actions) std::visit([this](const auto& a) { carry_out(a); }, action);
+  }
+  giving_ = false;
+}
+
+// The budget of further arrivals is shared by all dispatchers; the home has nearly all of a function's.
+bool Station::may_try_again() {
+  const auto& s = desk_.settings();
+  const Micros since = desk_.now() - static_cast<Micros>(s.retry_window_s) * 1'000'000;
+  while (!firsts_.empty() && firsts_.front() < since) firsts_.pop_front();
+  while (!repeats_.empty() && repeats_.front() < since) repeats_.pop_front();
+  const double most = s.retry_ratio * static_cast<double>(firsts_.size()) + s.retry_slack;
+  if (static_cast<double>(repeats_.size()) + 1 > kBudgetPart * most) return false;
+  repeats_.push_back(desk_.now());
+  return true;
+}
+
+void Station::carry_out(const Send& action) {
+  auto& open = open_.at(action.id);
+  const int attempt = static_cast<int>(open.tries.size());
+  const Micros now = desk_.now();
+  open.tries.push_back({action.worker, 0, now});
+  ++open.out;
+  if (open.tries.size() == 1) --held_;
+  ++busy_;
+  const auto known = known_.find(action.worker);
+  if (known == known_.end() || !open.call || (attempt > 0 && !may_try_again())) {
+    events_.push_back(Outcome{action.id, attempt, action.worker, Result::never_sent, false, {}});
+    --busy_;
+    --open.out;
+    return;
+  }
+  const Call& call = *open.call;
+  Errand errand;
+  errand.to = known->second.place;
+  errand.id = call.id;
+  errand.body = call.body;
+  errand.held = call.held;
+  auto& head = errand.head;
+  head.reserve(256 + call.head.size());
+  head.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n").append(call.head);
+  const Micros left = std::max<Micros>(1000, call.deadline - kAhead - kStopAhead - now);
+  net::write_header(head, kDeadline, std::to_string(left / 1000));
+  net::write_header(head, kTarget, action.worker);
+  if (!call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH")
+    net::write_header(head, "Content-Length", std::to_string(call.body.size()));
+  head += "\r\n";
+  const auto number = desk_.errands().start(std::move(errand), [this, id = action.id, attempt](ErrandEnd end) {
+    ended(id, attempt, std::move(end));
+  });
+  open.tries.back().errand = number;
+  desk_.alarms().at(call.deadline - kAhead, [this, id = action.id, attempt] { time_out(id, attempt); });
+}
+
+void Station::carry_out(const Refuse& action) {
+  auto& open = open_.at(action.id);
+  ++demand_.refused;
+  answered(open, {503, {}, {}, std::max(0.05, static_cast<double>(action.hold_off) / 1e6), true});
+  forget_if_over(action.id);
+}
+
+void Station::carry_out(const Fail& action) {
+  auto& open = open_.at(action.id);
+  const bool late = open.call && desk_.now() >= open.call->deadline - kAhead;
+  answered(open, {late ? 504 : 502, {}, {}, 0, true});
+  forget_if_over(action.id);
+}
+
+void Station::carry_out(const Cancel& action) {
+  const auto found = open_.find(action.id);
+  if (found == open_.end() || action.attempt >= static_cast<int>(found->second.tries.size())) return;
+  auto& one = found->second.tries[static_cast<std::size_t>(action.attempt)];
+  if (one.errand == 0) return;
+  desk_.errands().drop(one.errand);
+  over(action.id, action.attempt, Result::cancelled, false);
+}
+
+void Station::carry_out(const SetTimer& action) {
+  desk_.alarms().at(action.at, [this, token = action.token] { give(TimerFired{token}); });
+}
+
+void Station::answered(Open& open, Reply reply) {
+  if (!open.call) return;
+  if (open.tries.empty()) --held_;
+  answer(open.call, std::move(reply));
+  open.call = nullptr;
+}
+
+void Station::ended(RequestId id, int attempt, ErrandEnd end) {
+  auto& open = open_.at(id);
+  const Micros now = desk_.now();
+  auto& one = open.tries[static_cast<std::size_t>(attempt)];
+  using How = ErrandEnd::How;
+  if (end.how == How::no_connection || end.how == How::unsent) {
+    const auto known = known_.find(one.instance);
+    if (known != known_.end() && end.how == How::no_connection) desk_.refused_connection(one.instance);
+    return over(id, attempt, Result::no_connection, false);
+  }
+  if (end.how == How::broken) return over(id, attempt, Result::broken, false);
+  if (end.not_executed) {  // only its word says so
+    if (end.status == 421) {
+      desk_.refused_connection(one.instance);  // another life has that address
+      return over(id, attempt, Result::no_connection, false);
+    }
+    return over(id, attempt, end.status == 400 ? Result::rejected : Result::full, false);
+  }
+  if (end.status == 421) {
+    desk_.refused_connection(one.instance);
+    return over(id, attempt, Result::no_connection, false);
+  }
+  const bool success = end.status >= 200 && end.status < 300;
+  // Wrong bytes: a success is the instance's own only with its stamp, its id and no encoding.
+  if ((success && !end.sealed) || end.encoded || !end.named) return over(id, attempt, Result::broken, false);
+  // A promise that nobody made: it may have run.
+  const bool promise = end.status == 503 || end.status == 429 || end.status == 408;
+  if (promise) return over(id, attempt, Result::broken, false);
+  if (success) {
+    const double took = static_cast<double>(now - one.sent);
+    auto& estimate = estimates_[open.estimate_key];
+    estimate = estimate <= 0 ? took : estimate + (took - estimate) * kEstimateWeight;
+    demand_.work_us += static_cast<std::uint64_t>(now - one.sent);
+    ++demand_.ended;
+  }
+  answered(open, {end.status, std::move(end.head), std::move(end.body), 0, false});
+  over(id, attempt, Result::ok, true);
+}
+
+void Station::time_out(RequestId id, int attempt) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  auto& one = found->second.tries[static_cast<std::size_t>(attempt)];
+  if (one.errand == 0) return;
+  desk_.errands().drop(one.errand);
+  answered(found->second, {504, {}, {}, 0, true});
+  over(id, attempt, Result::timed_out, true);
+}
+
+void Station::over(RequestId id, int attempt, Result result, bool finished) {
+  auto& open = open_.at(id);
+  auto& one = open.tries[static_cast<std::size_t>(attempt)];
+  one.errand = 0;
+  --open.out;
+  --busy_;
+  const WorkerId instance = one.instance;
+  give(Outcome{id, attempt, instance, result, finished, {}});
+  forget_if_over(id);
+}
+
+void Station::forget_if_over(RequestId id) {
+  const auto found = open_.find(id);
+  if (found == open_.end() || found->second.call || found->second.out > 0) return;
+  open_.erase(found);
+}
+
+void Station::instances(std::vector<toolbox::Instance> all) {
+  std::set<WorkerId> there;
+  for (auto& told : all) {
+    there.insert(told.id);
+    auto& known = known_[told.id];
+    const bool fresh = known.told.id.empty();
+    known.told = std::move(told);
+    if (auto place = toolbox::read_place(known.told.address)) known.place = place.value();
+    if (fresh) known.up_at = desk_.now() + static_cast<Micros>(known.told.up_in_ms) * 1000;
+    if (!known.up() && known.told.condition == toolbox::Condition::starting && !known.polling) poll(known.told.id);
+  }
+  std::erase_if(known_, [&](const auto& entry) {
+    if (there.contains(entry.first)) return false;
+    desk_.errands().forget(entry.second.place);
+    return true;
+  });
+  tell_list();
+}
+
+void Station::tell_list() {
+  WorkerList list;
+  list.kind = ListKind::full;
+  usable_ = 0;
+  for (const auto& [id, known] : known_) {
+    const bool draining = known.told.condition == toolbox::Condition::draining;
+    if (!draining && !known.up()) continue;
+    WorkerInfo info;
+    info.id = id;
+    info.zone = known.told.zone;
+    info.slots = known.told.capacity;
+    info.phase = draining ? Phase::draining : Phase::serving;
+    list.workers.push_back(std::move(info));
+    if (!draining) ++usable_;
+  }
+  give(std::move(list));
+}
+
+// The list shows one only when it is up, and late: its home looks itself from about when it could be.
+void Station::poll(const WorkerId& id) {
+  auto& known = known_.at(id);
+  known.polling = true;
+  const Micros mean = std::max<Micros>(100'000, static_cast<Micros>(known.told.up_in_ms) * 1000);
+  const Micros first = known.up_at - static_cast<Micros>((1 - kPollFrom) * static_cast<double>(mean));
+  const Micros step = std::max(kPollLeast, static_cast<Micros>(kPollPart * static_cast<double>(mean)));
+  const Micros at = known.tried == 0 ? std::max(desk_.now(), first) : desk_.now() + step;
+  desk_.alarms().at(at, [this, id] {
+    const auto found = known_.find(id);
+    if (found == known_.end()) return;
+    if (found->second.up() || !desk_.is_home(service_) || found->second.tried++ > kMostPolls) {
+      found->second.polling = false;
+      return;
+    }
+    desk_.errands().reach(found->second.place, kPollConnect, [this, id](bool up) { reached(id, up); });
+  });
+}
+
+void Station::reached(const WorkerId& id, bool up) {
+  const auto found = known_.find(id);
+  if (found == known_.end()) return;
+  if (!up) return poll(id);
+  found->second.polling = false;
+  if (found->second.up()) return;
+  found->second.reached = true;
+  desk_.reached(id);
+  tell_list();
+}
+
+std::vector<CallRef> Station::give_away() {
+  std::vector<CallRef> calls;
+  std::vector<RequestId> ids;
+  for (auto& [id, open] : open_)
+    if (open.call && open.tries.empty() && !open.call->from_peer) ids.push_back(id);
+  for (const auto id : ids) {
+    calls.push_back(std::exchange(open_.at(id).call, nullptr));
+    --held_;
+    give(ClientLeft{id});
+    forget_if_over(id);
+  }
+  return calls;
+}
+
+void Station::leave(Micros at) {
+  give(Ending{at});
+}
+
+bool Station::fill_report(toolbox::Demand& demand) {
+  demand_.busy = static_cast<std::uint32_t>(busy_);
+  demand_.held = static_cast<std::uint32_t>(held_);
+  demand_.most_busy = std::max(demand_.most_busy, demand_.busy + demand_.held);
+  const bool says = demand_.arrivals + demand_.ended + demand_.refused + demand_.most_busy > 0;
+  demand = demand_;
+  demand_ = {};
+  demand_.service = service_;
+  return says;
+}
+
+}  // namespace woadridge::lathe
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -48,33 +48,6 @@
   return false;
 }
 
-std::string_view reason(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 408:
-      return "Request Timeout";
-    case 409:
-      return "Conflict";
-    case 413:
-      return "Content Too Large";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 500:
-      return "Internal Server Error";
-    case 503:
-      return "Service Unavailable";
-    default:
-      return "Other";
-  }
-}
-
 }  // namespace
 
 bool same_name(std::string_view a, std::string_view b) {
@@ -364,6 +337,43 @@
   return !line.empty();
 }
 
+std::string_view reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 307:
+      return "Temporary Redirect";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 429:
+      return "Too Many Requests";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Other";
+  }
+}
+
 void write_header(std::string& out, std::string_view name, std::string_view value) {
   out.append(name).append(": ").append(value).append("\r\n");
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -49,6 +49,10 @@
   bool keep_alive() const { return keep_alive_; }
   std::string_view header(std::string_view name) const;  // empty: absent
   bool repeats(std::string_view name) const;             // there is more than one such header
+  template <typename Take>
+  void each_header(Take take) const {  // name, value: in their order
+    for (const auto& h : headers_) take(at(h.name), at(h.value));
+  }
   std::string_view body() const { return {block_->data() + body_begin_, body_end_ - body_begin_}; }
   void drop_body(std::size_t bytes) { body_begin_ += bytes; }  // of a stream, once it was used
   std::shared_ptr<const void> held() const { return block_; }
@@ -112,6 +116,8 @@
 
 bool same_name(std::string_view a, std::string_view b);  // header names: letters' case does not count
 
+std::string_view reason(int status);
+
 // Appends a head. `more` holds whole header lines, each with its line end.
 void write_answer_head(std::string& out, int status, std::string_view more, std::size_t length, bool keep);
 void write_header(std::string& out, std::string_view name, std::string_view value);
--- a/src/toolbox/log.cpp
+++ b/src/toolbox/log.cpp
@@ -40,6 +40,12 @@
 
 }  // namespace
 
+std::optional<Level> level_named(std::string_view text) {
+  for (const auto level : {Level::debug, Level::info, Level::warning, Level::error})
+    if (text == word(level)) return level;
+  return std::nullopt;
+}
+
 std::string in_json(std::string_view text) {
   std::string out = "\"";
   for (const char c : text) {
--- a/src/toolbox/log.h
+++ b/src/toolbox/log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -11,6 +12,7 @@
 enum class Level { debug, info, warning, error };
 using Fields = std::initializer_list<std::pair<std::string_view, std::string>>;
 
+std::optional<Level> level_named(std::string_view word);
 void open_log(const std::string& program, const std::string& node, Level least);
 bool logs(Level level);
 void log(Level level, std::string_view what, Fields fields = {});
