--- a/src/lathe/main.cpp
+++ b/src/lathe/main.cpp
@@ -1,7 +1,5 @@
 // The proxy: takes clients' requests and sends them on, by what its agent tells.
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/outcome/try.hpp>
@@ -10,6 +8,7 @@
 
 #include "lathe/feed.h"
 #include "lathe/front.h"
+#include "toolbox/flags.h"
 #include "toolbox/log.h"
 
 ABSL_FLAG(std::string, settings, "", "the node's settings file (TOML); else the one that WOADRIDGE_CONFIG names");
@@ -31,7 +30,9 @@
   toolbox::Result<void> open() {
     const auto& s = desk_.settings();
     BOOST_OUTCOME_TRYV(front_.open(Door::clients, s.front));
-    if (s.readiness.port != 0) BOOST_OUTCOME_TRYV(front_.open(Door::readiness, s.readiness));
+    if (s.readiness.port != 0) {
+      BOOST_OUTCOME_TRYV(front_.open(Door::readiness, s.readiness));
+    }
     BOOST_OUTCOME_TRYV(front_.open(Door::peers, s.peer_link()));
     feed_.start();
     listen();
@@ -127,11 +128,7 @@
 }  // namespace woadridge::lathe
 
 int main(int count, char** words) {
-  absl::SetProgramUsageMessage("The proxy of the platform: lathe [--settings FILE] [--log_level LEVEL]");
-  const auto rest = absl::ParseCommandLine(count, words);
-  if (rest.size() > 1) {
-    std::cerr << "lathe: what is '" << rest[1] << "'? --help lists the flags\n";
-    return 2;
-  }
+  const char* usage = "the platform's proxy: takes clients' requests and sends them to functions";
+  if (!woadridge::toolbox::parse_flags(usage, "src/lathe/", count, words)) return 2;
   return woadridge::lathe::serve(absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_log_level));
 }
