Bellows and foreman: starts and stops of instances, the board, the agents' questions, the provider's calls

Cause: nothing brought instances up or down and nobody told the proxies. Ruled out: starts by each proxy (two would start for one function), numbers by use alone (one-slot functions with long and short work queue long before they look full).

--- /dev/null
+++ b/src/anvil/board.cpp
@@ -0,0 +1,89 @@
+#include "anvil/board.h"
+
+#include <algorithm>
+
+namespace woadridge::anvil {
+namespace {
+
+constexpr std::size_t kRemembered =
+    4096;                               // gone instances: minutes of them; older askers get the whole board
+constexpr Micros kWireBack = 300'000;   // an agent that restarts is back within this, its proxy serves on
+constexpr Micros kSilence = 2'500'000;  // agents ask at least each second: two questions missed
+
+}  // namespace
+
+void Board::begin(std::uint64_t term) {
+  *this = Board();
+  term_ = term;
+  version_ = floor_ = 1;  // 0 is what one holds that was never told
+}
+
+void Board::peers(const std::vector<toolbox::Peer>& peers) {
+  if (peers == peers_) return;
+  peers_ = peers;
+  peers_changed_ = ++version_;
+}
+
+void Board::change(const toolbox::Instance& instance) {
+  auto& entry = instances_[instance.id];
+  if (entry.changed > 0 && entry.instance == instance) return;
+  // Who applies news takes the gone after the changed: one that came back may not be among both.
+  if (entry.changed == 0) std::erase_if(gone_, [&](const auto& g) { return g.second == instance.id; });
+  entry = {instance, ++version_};
+}
+
+void Board::gone(const std::string& id) {
+  if (instances_.erase(id) == 0) return;
+  gone_.emplace_back(++version_, id);
+  if (gone_.size() <= kRemembered) return;
+  floor_ = gone_.front().first;
+  gone_.pop_front();
+}
+
+toolbox::News Board::since(std::uint64_t term, toolbox::Version version) const {
+  toolbox::News news;
+  news.term = term_;
+  news.board = version_;
+  news.whole = term != term_ || version < floor_ || version > version_;
+  if (news.whole) version = 0;
+  news.peers_told = news.whole || peers_changed_ > version;
+  if (news.peers_told) news.peers = peers_;
+  for (const auto& [id, entry] : instances_)
+    if (entry.changed > version) news.changed.push_back(entry.instance);
+  if (news.whole) return news;
+  for (auto at = gone_.rbegin(); at != gone_.rend() && at->first > version; ++at)
+    news.gone.push_back(at->second);
+  return news;
+}
+
+void Roll::asked(Micros now, const toolbox::Ask& ask) {
+  auto& entry = entries_[ask.name];
+  if (ask.proxy.empty() || entry.ended_at > 0)
+    entry.leaving = false;  // that one has ended; the next one stays
+  entry.peer = {ask.name, ask.zone, ask.proxy};
+  entry.asked_at = now;
+  entry.ended_at = 0;
+}
+
+void Roll::leaving(const std::string& name) {
+  const auto at = entries_.find(name);
+  if (at != entries_.end()) at->second.leaving = true;
+}
+
+void Roll::wire_ended(Micros now, const std::string& name) {
+  const auto at = entries_.find(name);
+  if (at != entries_.end()) at->second.ended_at = now;
+}
+
+std::vector<toolbox::Peer> Roll::at(Micros now) {
+  std::erase_if(entries_, [&](const auto& e) {
+    return now - e.second.asked_at > kSilence ||
+           (e.second.ended_at > 0 && now - e.second.ended_at > kWireBack);
+  });
+  std::vector<toolbox::Peer> peers;
+  for (const auto& [name, entry] : entries_)
+    if (!entry.leaving && !entry.peer.address.empty()) peers.push_back(entry.peer);
+  return peers;
+}
+
+}  // namespace woadridge::anvil
--- /dev/null
+++ b/src/anvil/board.h
@@ -0,0 +1,63 @@
+// What the holder tells, and to whom: the board with the version that changed each part last, and the roll of
+// proxies. No I/O and no clock.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "decide.h"
+#include "toolbox/messages.h"
+
+namespace woadridge::anvil {
+
+class Board {
+ public:
+  void begin(std::uint64_t term);  // an empty board of a new term
+  void peers(const std::vector<toolbox::Peer>& peers);
+  void change(const toolbox::Instance& instance);
+  void gone(const std::string& id);
+
+  std::uint64_t term() const { return term_; }
+  toolbox::Version version() const { return version_; }
+  const std::vector<toolbox::Peer>& peers() const { return peers_; }
+  bool newer_than(std::uint64_t term, toolbox::Version version) const {
+    return term != term_ || version != version_;
+  }
+  // The differences since then; all of it for another term, or a version before what is remembered.
+  toolbox::News since(std::uint64_t term, toolbox::Version version) const;
+
+ private:
+  struct Stamped {
+    toolbox::Instance instance;
+    toolbox::Version changed = 0;
+  };
+
+  std::uint64_t term_ = 0;
+  toolbox::Version version_ = 0, peers_changed_ = 0;
+  toolbox::Version floor_ = 0;  // who holds an older one may hold instances that nobody remembers
+  std::vector<toolbox::Peer> peers_;
+  std::map<std::string, Stamped> instances_;
+  std::deque<std::pair<toolbox::Version, std::string>> gone_;  // oldest first
+};
+
+class Roll {  // of the proxies, by their agents' questions
+ public:
+  void clear() { entries_.clear(); }
+  void asked(Micros now, const toolbox::Ask& ask);
+  void leaving(const std::string& name);
+  void wire_ended(Micros now, const std::string& name);
+  std::vector<toolbox::Peer> at(Micros now);  // by name; forgets those that are gone
+  bool knows(const std::string& name) const { return entries_.contains(name); }
+
+ private:
+  struct Entry {
+    toolbox::Peer peer;
+    Micros asked_at = 0, ended_at = 0;  // ended_at 0: its wire stands
+    bool leaving = false;
+  };
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace woadridge::anvil
--- /dev/null
+++ b/src/anvil/foreman.cpp
@@ -0,0 +1,346 @@
+#include "anvil/foreman.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <cmath>
+#include <random>
+#include <utility>
+
+#include "toolbox/log.h"
+
+namespace woadridge::anvil {
+namespace {
+
+constexpr double kMachinesShare = 0.2;      // of the lists' calls: machines change seldom
+constexpr Micros kListAgain = 100'000;      // after no answer: the list is what all else hangs on
+constexpr std::uint32_t kMostSlowDown = 8;  // times: three seconds between two lists, drain-ms is seldom less
+
+Micros now_us() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Micros ms(std::uint32_t number) {
+  return static_cast<Micros>(number) * 1000;
+}
+
+bellows::Bounds bounds_of(const toolbox::Settings& settings) {
+  return {ms(settings.max_lag_ms), ms(settings.drain_ms), settings.duty_per_s};
+}
+
+bellows::Outcome outcome_of(ProviderTrouble trouble) {
+  switch (trouble) {
+    case ProviderTrouble::too_many:
+      return bellows::Outcome::too_many;
+    case ProviderTrouble::no_room:
+      return bellows::Outcome::no_room;
+    case ProviderTrouble::unknown:
+      return bellows::Outcome::unknown;
+    case ProviderTrouble::fenced:
+      return bellows::Outcome::refused;
+    case ProviderTrouble::silent:
+    case ProviderTrouble::senseless:
+      break;
+  }
+  return bellows::Outcome::silent;
+}
+
+}  // namespace
+
+Foreman::Foreman(net::Strand strand, const toolbox::Settings& settings, ForemanKnobs knobs)
+    : strand_(strand),
+      settings_(settings),
+      knobs_(knobs),
+      gate_(strand, [this](std::shared_ptr<toolbox::Wire> wire) { take(std::move(wire)); }),
+      pulse_timer_(strand),
+      step_timer_(strand),
+      provider_(strand, settings.provider, settings.node_name),
+      bellows_(
+          std::make_unique<bellows::Bellows>(knobs.policy, bounds_of(settings), std::random_device{}())) {}
+
+Foreman::~Foreman() {
+  stop();
+}
+
+toolbox::Result<void> Foreman::open() {
+  auto opened = gate_.open(settings_.core_link(settings_.ip));
+  open_ = opened.has_value();
+  return opened;
+}
+
+void Foreman::plan(std::shared_ptr<const toolbox::Plan> plan) {
+  if (!plan || (plan_ && plan->version <= plan_->version)) return;
+  plan_ = std::move(plan);
+  bellows_->plan(now_us(), plan_);
+  if (holds()) step();
+}
+
+void Foreman::begin(std::uint64_t term) {
+  if (term == term_) return;
+  term_ = term;
+  began_ = now_us();
+  list_at_ = machines_at_ = began_;
+  slow_down_ = 1;
+  pages_ = 1;
+  listing_ = counting_ = false;
+  provider_.close();  // an earlier term's calls are not waited for
+  provider_.hold(term);
+  board_.begin(term);
+  roll_.clear();
+  bellows_->begin(began_, term);
+  for (const auto& agent : agents_)
+    if (agent->asked_at > 0) roll_.asked(began_, agent->ask);
+  toolbox::info("duty begun", {{"term", std::to_string(term)}});
+  pulse();
+}
+
+void Foreman::end() {
+  if (!holds()) return;
+  toolbox::info("duty ended", {{"term", std::to_string(term_)}});
+  term_ = 0;
+  provider_.close();
+  pulse_timer_.cancel();
+  step_timer_.cancel();
+  board_.begin(0);
+  roll_.clear();
+  bellows_->begin(now_us(), 0);
+  const auto agents = agents_;
+  for (const auto& agent : agents)
+    if (agent->asks) send_elsewhere(*agent);
+}
+
+void Foreman::elsewhere(std::string holder) {
+  holder_ = std::move(holder);
+}
+
+void Foreman::stop() {
+  if (!alive_) return;
+  end();
+  alive_.reset();
+  if (open_) gate_.close();
+  provider_.close();
+  pulse_timer_.cancel();
+  step_timer_.cancel();
+  for (const auto& agent : std::exchange(agents_, {})) agent->wire->close();
+}
+
+// --- agents ---
+
+void Foreman::take(std::shared_ptr<toolbox::Wire> wire) {
+  auto agent = std::make_shared<Agent>();
+  agent->wire = std::move(wire);
+  agents_.insert(agent);
+  const std::weak_ptr<int> alive = alive_;
+  agent->wire->start(
+      [this, alive, weak = std::weak_ptr(agent)](std::string_view bytes) {
+        const auto at = weak.lock();
+        if (at && !alive.expired()) heard(at, bytes);
+      },
+      [this, alive, weak = std::weak_ptr(agent)] {
+        const auto at = weak.lock();
+        if (at && !alive.expired()) dropped(at);
+      });
+}
+
+void Foreman::heard(const std::shared_ptr<Agent>& agent, std::string_view bytes) {
+  auto said = toolbox::unpack<toolbox::AgentSays>(bytes);
+  if (!said) {
+    toolbox::warning("an agent's word can't be read", {{"from", agent->wire->peer_ip()}});
+    agent->wire->close();
+    return dropped(agent);
+  }
+  if (auto* ask = std::get_if<toolbox::Ask>(&*said)) on_ask(agent, std::move(*ask));
+  else on_report(agent, std::get<toolbox::Report>(*said));
+}
+
+void Foreman::on_ask(const std::shared_ptr<Agent>& agent, toolbox::Ask ask) {
+  if (agent->asked_at == 0) {
+    // The same agent's earlier wire may hang behind a cut: its end must not take the peer away.
+    const auto others = agents_;
+    for (const auto& other : others) {
+      if (other == agent || other->asked_at == 0 || other->ask.name != ask.name) continue;
+      other->wire->close();
+      agents_.erase(other);
+    }
+  }
+  const auto now = now_us();
+  agent->ask = std::move(ask);
+  agent->asks = true;
+  agent->asked_at = now;
+  if (!holds()) return send_elsewhere(*agent);
+  roll_.asked(now, agent->ask);
+  tell(now);
+}
+
+void Foreman::on_report(const std::shared_ptr<Agent>& agent, const toolbox::Report& report) {
+  if (!holds() || agent->asked_at == 0) return;  // who hasn't asked hasn't said who it is
+  if (report.leaving) roll_.leaving(agent->ask.name);
+  bellows_->report(now_us(), agent->ask.name, report);
+  bool urgent = !report.reached.empty() || !report.lost.empty() || report.leaving;
+  for (const auto& demand : report.demand) urgent |= demand.held > 0;
+  if (urgent) step();
+  else step_soon();
+}
+
+void Foreman::dropped(const std::shared_ptr<Agent>& agent) {
+  if (agents_.erase(agent) == 0) return;
+  if (holds() && agent->asked_at > 0) roll_.wire_ended(now_us(), agent->ask.name);
+}
+
+void Foreman::send_elsewhere(Agent& agent) {
+  agent.asks = false;
+  agent.wire->say(toolbox::CoreSays{toolbox::Elsewhere{holder_}});
+}
+
+// --- the holder's work ---
+
+void Foreman::step_soon() {
+  if (step_waits_) return;
+  step_waits_ = true;
+  step_timer_.expires_after(std::chrono::milliseconds(knobs_.pause_ms));
+  step_timer_.async_wait([this, alive = std::weak_ptr<int>(alive_)](net::Fault) {
+    if (alive.expired()) return;
+    step_waits_ = false;
+    if (holds()) step();
+  });
+}
+
+void Foreman::step() {
+  const auto now = now_us();
+  look_at_peers(now);
+  for (const auto& order : bellows_->work(now)) send(order);
+  const auto changes = bellows_->changes();
+  for (const auto& id : changes.gone) board_.gone(id);
+  for (const auto& instance : changes.changed) board_.change(instance);
+  tell(now);
+}
+
+void Foreman::look_at_peers(Micros now) {
+  if (now - began_ < ms(knobs_.gather_ms)) return;
+  auto peers = roll_.at(now);
+  if (peers == board_.peers()) return;
+  if (toolbox::logs(toolbox::Level::debug))
+    toolbox::debug("proxies", {{"count", std::to_string(peers.size())}});
+  board_.peers(peers);
+  bellows_->peers(now, std::move(peers));
+}
+
+// A board without what an earlier holder started would take every instance from the proxies: they serve on
+// with the one that they hold until the list has come.
+bool Foreman::board_is_ready(Micros now) const {
+  return bellows_->knows_instances() && now - began_ >= ms(knobs_.gather_ms);
+}
+
+void Foreman::tell(Micros now) {
+  const auto agents = agents_;
+  for (const auto& agent : agents) {
+    if (agent->wire->unsent() > knobs_.most_unsent) {
+      if (agent->unread_since == 0) agent->unread_since = now;
+      if (now - agent->unread_since < ms(knobs_.unread_ms)) continue;
+      toolbox::warning("an agent doesn't read", {{"agent", agent->ask.name}});
+      agent->wire->close();
+      dropped(agent);
+      continue;
+    }
+    agent->unread_since = 0;
+    if (agent->asks) answer(*agent, now);
+  }
+}
+
+void Foreman::answer(Agent& agent, Micros now) {
+  const bool ready = board_is_ready(now);
+  const bool board_news = ready && board_.newer_than(agent.ask.term, agent.ask.board);
+  const bool plan_news = plan_ && plan_->version > agent.ask.plan;
+  if (!board_news && !plan_news && now - agent.asked_at < ms(knobs_.answer_ms)) return;
+  if ((board_news || plan_news) && now - agent.told_at < ms(knobs_.pause_ms)) return step_soon();
+  toolbox::News news;
+  if (board_news) {
+    news = board_.since(agent.ask.term, agent.ask.board);
+  } else {
+    news.term = agent.ask.term;  // what it holds stays as it is
+    news.board = agent.ask.board;
+  }
+  if (plan_news) {
+    news.plan_told = true;
+    news.plan = *plan_;
+  }
+  agent.asks = false;
+  agent.told_at = now;
+  agent.wire->say(toolbox::CoreSays{std::move(news)});
+}
+
+void Foreman::pulse() {
+  const auto now = now_us();
+  read_lists(now);
+  step();
+  pulse_timer_.expires_after(std::chrono::milliseconds(knobs_.pulse_ms));
+  pulse_timer_.async_wait([this, term = term_, alive = std::weak_ptr<int>(alive_)](net::Fault fault) {
+    if (!fault && !alive.expired() && term == term_) pulse();
+  });
+}
+
+void Foreman::read_lists(Micros now) {
+  const double per_s = std::max(0.1, settings_.rate_per_s * knobs_.share_of_rate);
+  if (!listing_ && now >= list_at_) {
+    listing_ = true;
+    const double span_s = static_cast<double>(pages_) / (per_s * (1 - kMachinesShare));
+    list_at_ = now + slow_down_ * std::max(ms(knobs_.list_ms), static_cast<Micros>(span_s * 1e6));
+    provider_.instances([this, now, term = term_](const ProviderResult<Listing>& result) {
+      if (term != term_) return;
+      listing_ = false;
+      if (!result) {
+        const bool too_many = result.error().trouble == ProviderTrouble::too_many;
+        if (too_many) slow_down_ = std::min(2 * slow_down_, kMostSlowDown);
+        else list_at_ = std::min(list_at_, now_us() + kListAgain);
+        toolbox::debug("no list of instances", {{"why", result.error().what}});
+        return;
+      }
+      slow_down_ = std::max(1u, slow_down_ / 2);
+      pages_ = std::max<std::size_t>(1, result.value().pages);
+      bellows_->listed(now_us(), now, result.value().instances);
+      step();
+    });
+  }
+  if (!counting_ && now >= machines_at_) {
+    counting_ = true;
+    machines_at_ =
+        now + std::max(ms(knobs_.machines_ms), static_cast<Micros>(1e6 / (per_s * kMachinesShare)));
+    provider_.machines(
+        [this, now, term = term_](const ProviderResult<std::vector<bellows::Machine>>& result) {
+          if (term != term_) return;
+          counting_ = false;
+          if (!result) {
+            machines_at_ = std::min(machines_at_, now_us() + 3 * kListAgain);
+            toolbox::debug("no list of machines", {{"why", result.error().what}});
+            return;
+          }
+          bellows_->machines(now_us(), now, result.value());
+          step();
+        });
+  }
+}
+
+void Foreman::send(const bellows::Order& order) {
+  auto on = [this, term = term_, ticket = order.ticket](const ProviderResult<Begun>& result) {
+    answered(term, ticket, result);
+  };
+  if (order.start) provider_.begin(order, std::move(on));
+  else provider_.stop(order.id, std::move(on));
+}
+
+void Foreman::answered(std::uint64_t term, std::uint64_t ticket, const ProviderResult<Begun>& result) {
+  if (term != term_) return;
+  const auto now = now_us();
+  if (result) {
+    bellows_->answered(now, ticket, bellows::Outcome::done, result.value().id, result.value().address);
+  } else {
+    const auto& fault = result.error();
+    if (fault.trouble == ProviderTrouble::fenced)
+      toolbox::warning("the provider doesn't take this holder's call", {{"why", fault.what}});
+    bellows_->answered(now, ticket, outcome_of(fault.trouble));
+  }
+  step();
+}
+
+}  // namespace woadridge::anvil
--- /dev/null
+++ b/src/anvil/foreman.h
@@ -0,0 +1,97 @@
+// The holder's work: knows the proxies by their agents' questions, the instances by the provider's list and
+// by its own calls, has `bellows` decide what starts and stops, and tells every agent. Runs on each core
+// machine; one that doesn't hold the duty sends agents elsewhere.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "anvil/board.h"
+#include "anvil/provider.h"
+#include "bellows/bellows.h"
+#include "net/asio.h"
+#include "toolbox/frames.h"
+#include "toolbox/messages.h"
+#include "toolbox/settings.h"
+
+namespace woadridge::anvil {
+
+struct ForemanKnobs {  // times in milliseconds
+  bellows::Knobs policy;
+  std::uint32_t gather_ms = 600;     // of a term, before peers are told: agents come back one by one
+  std::uint32_t answer_ms = 1000;    // a question without news is answered after so long
+  std::uint32_t pause_ms = 20;       // between two pieces of news to one agent: changes come in flocks
+  std::uint32_t pulse_ms = 100;      // how often waits and levels are looked at
+  std::uint32_t list_ms = 400;       // between two readings of the instances: drain-ms starts when it shows
+  std::uint32_t machines_ms = 1500;  // between two readings of the machines
+  double share_of_rate = 0.35;       // of the provider's calls a second that the lists may take
+  std::size_t most_unsent = 256 << 10;  // bytes: an agent that doesn't read gets nothing new
+  std::uint32_t unread_ms = 4000;       // and is hung up on after so long
+};
+
+class Foreman {
+ public:
+  Foreman(net::Strand strand, const toolbox::Settings& settings, ForemanKnobs knobs = {});
+  ~Foreman();
+  Foreman(const Foreman&) = delete;
+  Foreman& operator=(const Foreman&) = delete;
+
+  toolbox::Result<void> open();  // the agents' gate
+  void plan(std::shared_ptr<const toolbox::Plan> plan);
+  void begin(std::uint64_t term);  // the duty is held from now on ...
+  void end();                      // ... to here
+  void elsewhere(std::string holder_internal_address);
+  void stop();  // for good
+
+  bool holds() const { return term_ > 0; }
+
+ private:
+  struct Agent {
+    std::shared_ptr<toolbox::Wire> wire;
+    toolbox::Ask ask;
+    bool asks = false;  // its question is open
+    Micros asked_at = 0, told_at = 0, unread_since = 0;
+  };
+
+  void take(std::shared_ptr<toolbox::Wire> wire);
+  void heard(const std::shared_ptr<Agent>& agent, std::string_view bytes);
+  void on_ask(const std::shared_ptr<Agent>& agent, toolbox::Ask ask);
+  void on_report(const std::shared_ptr<Agent>& agent, const toolbox::Report& report);
+  void dropped(const std::shared_ptr<Agent>& agent);
+  void send_elsewhere(Agent& agent);
+
+  void step();       // decides, calls the provider, brings the board up to date, tells
+  void step_soon();  // the same for all that comes within a moment
+  void look_at_peers(Micros now);
+  void tell(Micros now);
+  void answer(Agent& agent, Micros now);
+  void pulse();
+  void read_lists(Micros now);
+  void send(const bellows::Order& order);
+  void answered(std::uint64_t term, std::uint64_t ticket, const ProviderResult<Begun>& result);
+  bool board_is_ready(Micros now) const;
+
+  net::Strand strand_;
+  toolbox::Settings settings_;
+  ForemanKnobs knobs_;
+  toolbox::Gate gate_;
+  net::Timer pulse_timer_, step_timer_;
+  Provider provider_;
+  std::set<std::shared_ptr<Agent>> agents_;
+  Roll roll_;
+  Board board_;
+  std::unique_ptr<bellows::Bellows> bellows_;
+  std::shared_ptr<const toolbox::Plan> plan_;
+  std::string holder_;
+  std::uint64_t term_ = 0;  // 0: the duty isn't held
+  Micros began_ = 0, list_at_ = 0, machines_at_ = 0;
+  std::size_t pages_ = 1;
+  bool listing_ = false, counting_ = false, step_waits_ = false, open_ = false;
+  std::uint32_t slow_down_ = 1;  // by how much lists are read less often, after refusals over the rate
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);  // handlers that come after the end do nothing
+};
+
+}  // namespace woadridge::anvil
