Decisions split by concern: eight files in src/decide, each on the one before

Cause: all decisions stood in one file of 731 lines, from sums that are learnt to trials of a cancel, and the platform needs more of some of them. Ruled out: one class in several .cpp files - its declarations alone would cost a tenth of the module's lines and say nothing of who calls whom. Change: learning, room, lanes, refusal, choice, retries, trials, dispatcher; each struct stands on the one before, so calls go one way. Bookkeeping without a choice moved to records.h (a request's fields, a repeat's age, who stands at a place of the ring).

--- a/src/records.h
+++ b/src/records.h
@@ -1,4 +1,4 @@
-// What one dispatcher remembers: plain records, no decisions. Those are all in src/decide.cpp.
+// What one dispatcher remembers: plain records, no decisions. Those are all in src/decide/.
 #pragma once
 
 #include <algorithm>
@@ -151,6 +151,10 @@
     started = at;
     heard = at;
   }
+  void end(Result result) {
+    out = false;
+    never_ran = result == Result::full || result == Result::no_connection || result == Result::never_sent;
+  }
 };
 
 struct QueueKey {        // requests that can use the same workers in the same order wait in one queue
@@ -330,6 +334,25 @@
     for (const auto& [id, r] : requests) ids.insert(id);
     return ids;
   }
+  Request& accept(const Arrival& a) {
+    Request& r = requests[a.id];
+    r.id = a.id;
+    r.deadline = now + a.time_left;
+    r.slots = std::max(a.slots, 1.0);
+    r.of = class_named(a.class_name);
+    r.most_attempts = set.max_attempts;
+    r.arrival = ++arrivals;
+    r.key = a.key;
+    r.hinted = a.hint.has_value();
+    r.work = r.hinted ? static_cast<double>(*a.hint) : mean_run;
+    return r;
+  }
+  // How long ago its client first asked: a shorter time than a first try's tells a repeat.
+  Micros asked_before(const Arrival& a) {
+    auto& longest = longest_ttl[a.class_name];
+    longest = std::max(longest, a.time_left);
+    return longest - a.time_left;
+  }
   Request* find(RequestId id) {
     const auto found = requests.find(id);
     return found == requests.end() ? nullptr : &found->second;
@@ -406,6 +429,23 @@
       if (i != kept && r.attempts[static_cast<std::size_t>(i)].out) out->push_back(Cancel{r.id, i});
   }
 
+  void call_off_copies() {
+    for (const auto id : open_ids()) call_off_all_but(requests.at(id), requests.at(id).first_out());
+  }
+  void see_taken(const Taken& e) {
+    if (Attempt* a = attempt(e.id, e.attempt).second; a != nullptr) a->taken = true;
+  }
+  void tell(int word) {
+    if (set.may_tell) out->push_back(Tell{std::string(1, static_cast<char>(word))});
+  }
+  // Listed, and nothing goes there: by hand or by judgement. Who drains is left out by the list.
+  std::size_t avoided(Micros at) const {
+    std::size_t all = 0;
+    for (const auto& [id, w] : workers)
+      all += w.info.phase == Phase::serving && (w.banned || at < w.judged_until);
+    return all;
+  }
+
   // Whoever is absent from a whole list is gone.
   void mark_absent() {
     for (auto& [id, w] : workers)
@@ -467,6 +507,13 @@
     if (queue.group >= 0) return shelves.group(queue.group);
     return shelves.find(queue.kind, near ? set.zone : queue.zone);
   }
+  Worker* at_place(const std::string& kind, std::uint64_t hash) const {  // in the order common to all
+    const auto row = shelves.rows().find(kind);
+    if (row == shelves.rows().end() || row->second.workers.empty()) return nullptr;
+    auto spot = row->second.workers.from(hash);
+    if (spot == row->second.workers.end()) spot = row->second.workers.begin();
+    return static_cast<Worker*>(spot->owner);
+  }
   std::vector<QueueKey> queue_keys() const {
     std::vector<QueueKey> keys;
     for (const auto& [key, queue] : queues) keys.push_back(key);
