Jig: the agent beside each proxy, its link to the holder of the duty and its feed over loopback

Proxies had nobody who finds the holder for them, keeps its board through a change of holder, and takes their reports.

Ruled out: staying with the machine that answered last, and following every word of the holder's place. Adding up demand while the link is down was ruled out as well: it would look like a burst.

News and reports are passed on in the bytes they came in.

--- /dev/null
+++ b/src/jig/agent.h
@@ -0,0 +1,77 @@
+// The agent: one link upwards, to the core machine that holds the duty, and one downwards, to the proxy of
+// its own machine. Holds the board, so that a proxy that starts anew has it at once.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jig/pending.h"
+#include "jig/seek.h"
+#include "toolbox/frames.h"
+#include "toolbox/messages.h"
+#include "toolbox/settings.h"
+
+namespace woadridge::jig {
+
+class Agent {
+ public:
+  using OnDone = std::function<void()>;
+  Agent(toolbox::Strand strand, const toolbox::Settings& settings, std::uint64_t seed);
+
+  void start();
+  void settings(const toolbox::Settings& settings);  // read anew: other seeds
+  // Ends when the proxy has gone, as it drains and needs the link, but in time for grace-s.
+  void end(OnDone done);
+
+  const toolbox::Board& board() const { return board_; }
+  bool linked() const { return linked_; }
+
+ private:
+  using WirePtr = std::shared_ptr<toolbox::Wire>;
+
+  // upwards
+  void dial();
+  void dial_in(Millis wait);
+  void ask();
+  void ask_in(Millis wait);
+  void heard(std::string_view bytes);
+  void heard_news(const toolbox::News& news, std::string_view bytes);
+  void unanswered();
+  void drop(Millis wait, std::string_view why);
+  bool takes_reports() const;
+  void flush();
+
+  // downwards
+  void open_gate();
+  void knock(WirePtr wire);
+  void proxy_says(const WirePtr& wire, std::string_view bytes);
+  void proxy_asks(const WirePtr& wire, const toolbox::Ask& ask);
+  void proxy_ended(const WirePtr& wire);
+  void feed(std::string bytes);
+
+  void finish_in(Millis wait);
+  static Millis now();
+
+  toolbox::Strand strand_;
+  toolbox::Settings settings_;
+  toolbox::Board board_;
+  Seek seek_;
+  Pending pending_;
+  WirePtr up_, proxy_;
+  std::vector<WirePtr> knocking_;  // connected, and hasn't said that it's the proxy
+  std::string proxy_address_;
+  bool linked_ = false;  // the holder is at the other end of up_: it has answered with news
+  bool leaving_ = false, ending_ = false;
+  Place at_;  // the other end of up_
+  Millis dialed_at_ = 0, asked_at_ = 0, answer_by_ = 0, unlinked_at_ = 0;
+  bool told_unlinked_ = false;
+  OnDone done_;
+  toolbox::Gate gate_;
+  toolbox::Timer dial_timer_, ask_timer_, answer_timer_, gate_timer_, end_timer_;
+};
+
+}  // namespace woadridge::jig
--- /dev/null
+++ b/src/jig/main.cpp
@@ -0,0 +1,136 @@
+// jig, the agent beside each proxy.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <sys/stat.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
+#include <random>
+#include <string>
+#include <tuple>
+
+#include "jig/agent.h"
+#include "toolbox/log.h"
+
+ABSL_FLAG(std::string, settings, "",
+          "the node's settings file (TOML); else the one that WOADRIDGE_CONFIG names");
+ABSL_FLAG(std::string, log_level, "info", "the least level that is logged: debug, info, warning or error");
+
+namespace {
+
+using namespace woadridge;
+
+constexpr auto kLookAgain = std::chrono::seconds(2);
+
+std::optional<toolbox::Level> level_of(const std::string& word) {
+  if (word == "debug") return toolbox::Level::debug;
+  if (word == "info") return toolbox::Level::info;
+  if (word == "warning") return toolbox::Level::warning;
+  if (word == "error") return toolbox::Level::error;
+  return std::nullopt;
+}
+
+// The settings file changes with SIGHUP or without any signal.
+class Watch {
+ public:
+  Watch(toolbox::Strand strand, std::string path, jig::Agent& agent)
+      : timer_(strand), path_(std::move(path)), agent_(agent), seen_(stamp()) {
+    look_later();
+  }
+
+  void reread() {
+    const auto now = stamp();
+    const auto read = toolbox::load_settings(path_);
+    if (!read) {  // it may be half written: looked at again, and told once
+      if (std::exchange(told_, read.error().what) != told_)
+        toolbox::warning("the settings stay as they were", {{"why", told_}});
+      return;
+    }
+    seen_ = now;
+    told_.clear();
+    agent_.settings(read.value());
+    toolbox::info("settings read", {{"seeds", std::to_string(read.value().seeds.size())}});
+  }
+
+  void stop() { timer_.cancel(); }
+
+ private:
+  using Stamp = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::uint64_t>;
+
+  Stamp stamp() const {
+    struct stat s {};
+    if (::stat(path_.c_str(), &s) != 0) return seen_;  // gone for a moment
+    return {s.st_mtim.tv_sec, s.st_mtim.tv_nsec, s.st_size, s.st_ino};
+  }
+
+  void look_later() {
+    timer_.expires_after(kLookAgain);
+    timer_.async_wait([this](toolbox::Code stopped) {
+      if (stopped) return;
+      if (stamp() != seen_) reread();
+      look_later();
+    });
+  }
+
+  toolbox::Timer timer_;
+  std::string path_, told_;
+  jig::Agent& agent_;
+  Stamp seen_{};
+};
+
+int run(const std::string& path, const toolbox::Settings& settings) {
+  boost::asio::io_context io(1);
+  toolbox::Strand strand(io.get_executor());
+  jig::Agent agent(strand, settings, std::random_device{}());
+  Watch watch(strand, path, agent);
+  boost::asio::signal_set signals(strand, SIGTERM, SIGINT, SIGHUP);
+  std::function<void()> listen = [&] {
+    signals.async_wait([&](toolbox::Code stopped, int signal) {
+      if (stopped) return;
+      if (signal == SIGHUP) {
+        watch.reread();
+      } else {
+        toolbox::info("told to end");
+        agent.end([&] { io.stop(); });
+      }
+      listen();
+    });
+  };
+  listen();
+  agent.start();
+  toolbox::info("started");
+  io.run();
+  toolbox::info("ended");
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "the agent beside a proxy: keeps the link to the core, feeds the proxy over loopback.\n"
+      "usage: jig [--settings FILE] [--log_level LEVEL]");
+  const auto rest = absl::ParseCommandLine(argc, argv);
+  const auto level = level_of(absl::GetFlag(FLAGS_log_level));
+  if (rest.size() > 1 || !level) {
+    std::fprintf(stderr, "jig: %s\n",
+                 level ? "takes no arguments but flags; see --help" : "unknown --log_level");
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);  // a write to a closed connection is an error there, not an end here
+  std::string path = absl::GetFlag(FLAGS_settings);
+  const auto settings = toolbox::load_settings_or(path);
+  if (!settings) {
+    std::fprintf(stderr, "jig: %s\n", settings.error().what.c_str());
+    return 2;
+  }
+  if (path.empty()) path = std::getenv("WOADRIDGE_CONFIG");
+  toolbox::open_log("jig", settings.value().node_name, *level);
+  return run(path, settings.value());
+}
