Bellows: tests on a simulated provider; a wait for a start is not a lack of instances

Cause: a request held for the whole of its function's start counted as pressure, and a second instance was started for it; who came often was kept for half a minute after the last request. Ruled out: the number for waiting requests (it was one). Change: pressure counts only while nothing starts; a function that stays away for four times its gap is let go like any other.

--- a/src/bellows/bellows.cpp
+++ b/src/bellows/bellows.cpp
@@ -23,7 +23,8 @@
 constexpr Micros kBuriedKept = 60'000'000;  // longer than any list is late
 constexpr Micros kStartsTooLong = 6;        // times the mean: far beyond what starts vary
 constexpr std::uint32_t kMissedLists =
-    2;  // pages are read one by one: one that moves between them is missed once
+    2;                       // pages are read one by one: one that moves between them is missed once
+constexpr double kGaps = 4;  // chance makes a gap so long once in fifty
 constexpr double kNoTimeForStart =
     0.5;  // share of late cold starts: such a function is kept warm ahead of traffic
 
@@ -456,11 +457,14 @@
     }
   }
   const auto have = ready + starting;
-  const auto reading = f.gauge.read(now, std::max(began_, f.planned_at), guess_s(f));
+  auto reading = f.gauge.read(now, std::max(began_, f.planned_at), guess_s(f));
+  if (ready == 0 || starting > 0) reading.pressed = 0;  // they wait for a start: that comes
   const double gb = f.trade.memory_gb;
   const double cold = cost_of_cold(knobs_.prices, f.trade, reading);
-  const bool busy_function = reading.long_rate * cold > gb;
   const bool used = f.gauge.last_use() > 0;
+  // Who came often has gone when it doesn't come for several times its usual gap.
+  const double idle_s = static_cast<double>(now - f.gauge.last_use()) / 1e6;
+  const bool often = used && reading.long_rate * cold > gb && reading.long_rate * idle_s < kGaps;
   const auto keep = [&](std::size_t level) {
     const bool rare = level == 0 && now - f.planned_at > knobs_.keep_most / 3 &&
                       reading.long_rate * cold < knobs_.rare * gb;
@@ -471,7 +475,7 @@
   std::uint32_t want = worth_keeping(knobs_.prices, f.trade, reading, knobs_.margin);
   // One instance follows use itself, not rates: demand of one request now and then is not worth it by rate.
   const bool lately = used && now - f.gauge.last_use() < keep(0) / 2;
-  if (want <= 1) want = reading.held + reading.busy > 0 || busy_function ? 1 : 0;
+  if (want <= 1) want = reading.held + reading.busy > 0 || often ? 1 : 0;
   const bool ahead = f.routed && !used && share_late_cold(f.trade, guess_s(f)) > kNoTimeForStart &&
                      (traffic_at_ == 0 || now - std::max(traffic_at_, f.planned_at) < knobs_.prewarm);
   if (ahead) want = std::max(want, 1u);
--- a/src/bellows/need.cpp
+++ b/src/bellows/need.cpp
@@ -35,12 +35,14 @@
 
 std::uint32_t worth_keeping(const Prices& prices, const Trade& trade, const Reading& reading, double margin) {
   const double rate = reading.rate * margin;
-  const double load = std::max(rate * reading.work_s, reading.pressed);
-  if (load <= 0) return 0;
+  const double load = rate * reading.work_s;
+  if (load <= 0 && reading.pressed <= 0) return 0;
   const double slack = std::max(0.0, trade.aim_s - 1.5 * reading.work_s);
   double best = -1;
   std::uint32_t best_count = 1;
-  const auto least = static_cast<std::uint32_t>(load / trade.slots) + 1;  // with fewer the queue only grows
+  // With fewer the queue only grows.
+  const auto least = std::max(static_cast<std::uint32_t>(load / trade.slots) + 1,
+                              static_cast<std::uint32_t>(std::ceil(reading.pressed / trade.slots)));
   for (std::uint32_t count = least; count <= least + kMost; ++count) {
     const auto slots = count * trade.slots;
     const double drain_s = reading.work_s * (1 + reading.spread) / 2 / (slots - load);
--- /dev/null
+++ b/tests/platform/bellows/bellows_test.cpp
@@ -0,0 +1,336 @@
+// What bellows does in each single case that it is meant for.
+#include <algorithm>
+#include <set>
+
+#include "toolbox/homes.h"
+#include "world.h"
+
+// Last: its macros for new and delete break the standard library's headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace woadridge;
+using namespace woadridge::bellows;
+using namespace woadridge::bellows::tried;
+
+namespace {
+
+const std::vector<toolbox::Peer> kPeers = {
+    {"p1", "a", "10.1.0.1:7681"}, {"p2", "b", "10.2.0.1:7681"}, {"p3", "c", "10.3.0.1:7681"}};
+
+toolbox::Report held(const std::string& service, std::uint32_t count, std::uint32_t arrivals) {
+  toolbox::Demand demand;
+  demand.service = service;
+  demand.held = count;
+  demand.arrivals = arrivals;
+  toolbox::Report report;
+  report.demand.push_back(demand);
+  return report;
+}
+
+std::size_t starts(const World& world, const std::string& service) {
+  return static_cast<std::size_t>(
+      std::count_if(world.orders.begin(), world.orders.end(),
+                    [&](const Order& o) { return o.start && o.service == service; }));
+}
+
+void stand_up(World& world) {  // small functions that start within their aim: none of them ahead of demand
+  world.fleet(2, 4096);
+  for (int n = 0; n < 4; ++n) world.service("f" + std::to_string(n), 128, 900, 1, 1500);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(7);
+  world.run(3 * kS);
+}
+
+}  // namespace
+
+TEST_GROUP(Bellows){};
+
+TEST(Bellows, AColdFunctionGetsOneStartHoweverManyReportsTellOfIt) {
+  World world(1);
+  stand_up(world);
+  CHECK_EQUAL(0, world.orders.size());
+  for (int n = 0; n < 20; ++n) {
+    world.report("p1", held("f0", 1, n == 0 ? 1 : 0));
+    if (n == 0) CHECK_EQUAL(1, world.orders.size());  // at once: in the same event
+    world.run(world.now + 30 * kMs);
+  }
+  CHECK_EQUAL(1, starts(world, "f0"));
+}
+
+TEST(Bellows, AStartingInstanceIsToldAtOnceAndIsReadyWhenAProxyReachesIt) {
+  World world(2);
+  stand_up(world);
+  world.report("p1", held("f0", 1, 1));
+  world.run(world.now + 20 * kMs);
+  CHECK_EQUAL(1, world.board.size());
+  const auto told = world.board.begin()->second;
+  CHECK(told.condition == toolbox::Condition::starting);
+  CHECK_EQUAL(900, told.up_in_ms);
+  toolbox::Report report;
+  report.reached.push_back(told.id);
+  world.report("p1", report);
+  world.run(world.now + 5 * kMs);
+  CHECK(world.board.begin()->second.condition == toolbox::Condition::ready);
+}
+
+TEST(Bellows, AStartWithoutAnswerIsRepeatedWithItsNonceAndNothingStartsTwice) {
+  World world(3);
+  stand_up(world);
+  world.silent = 0.7;
+  world.report("p1", held("f0", 1, 1));
+  world.run(world.now + 100 * kMs);
+  for (int n = 0; n < 60; ++n) {
+    world.run(world.now + 100 * kMs);
+    if (world.alive("f0") == 0 || world.bellows.instances_of("f0") == 0) world.report("p1", held("f0", 1, 0));
+  }
+  CHECK(world.nonces_sent.size() > 1);
+  CHECK_EQUAL(1, std::set<std::string>(world.nonces_sent.begin(), world.nonces_sent.end()).size());
+  CHECK_EQUAL(1, world.tally.starts);
+}
+
+TEST(Bellows, AFullMachineIsPassedOver) {
+  World world(4);
+  stand_up(world);
+  world.report("p1", held("f0", 1, 1));
+  const auto first = world.orders.back();
+  // Before its answer comes back, the provider says that there is no room.
+  world.bellows.answered(world.now, first.ticket, bellows::Outcome::no_room);
+  const auto again = world.bellows.work(world.now);
+  CHECK_EQUAL(1, again.size());
+  CHECK(again.front().machine != first.machine);
+  CHECK(again.front().nonce != first.nonce);
+}
+
+TEST(Bellows, FunctionsThatStartTooSlowlyForTheirAimsAreWarmBeforeTheirFirstRequest) {
+  World world(5);
+  world.fleet(2, 8192);
+  for (int n = 0; n < 6; ++n) world.service("slow" + std::to_string(n), 1024, 1400, 8, 400);
+  for (int n = 0; n < 6; ++n) world.service("quick" + std::to_string(n), 128, 900, 1, 1500);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(1);
+  world.run(8 * kS);
+  std::set<std::string> machines;
+  for (int n = 0; n < 6; ++n) {
+    const auto name = "slow" + std::to_string(n);
+    CHECK_EQUAL(1, world.alive(name));
+    CHECK_EQUAL(0, world.alive("quick" + std::to_string(n)));
+    const auto home = kPeers[toolbox::homes(name, kPeers).front()].zone;
+    for (const auto& [id, instance] : world.board)
+      if (instance.service == name) STRCMP_EQUAL(home.c_str(), instance.zone.c_str());
+  }
+  world.request("slow0");  // traffic begins: who isn't called is let go in the end
+  world.run(60 * kS);
+  for (int n = 1; n < 6; ++n) CHECK_EQUAL(0, world.alive("slow" + std::to_string(n)));
+}
+
+TEST(Bellows, ManyWhoWaitGetSeveralInstancesAndABriefOverlapGetsNone) {
+  World world(6);
+  stand_up(world);
+  for (int n = 0; n < 40; ++n) world.request("f0", 0.4);
+  world.run(world.now + 200 * kMs);
+  CHECK(starts(world, "f0") >= 3);
+  CHECK(starts(world, "f0") <= 20);
+  world.request("f1");
+  world.run(world.now + 2 * kS);
+  CHECK_EQUAL(1, world.alive("f1"));
+  world.request("f1");
+  world.request("f1");  // 80 ms later it's its turn
+  world.run(world.now + 1 * kS);
+  CHECK_EQUAL(1, starts(world, "f1"));
+}
+
+TEST(Bellows, AJumpOfABusyFunctionIsFollowedWithinASecond) {
+  World world(7);
+  world.fleet(2, 8192);
+  world.service("busy", 1024, 1400, 8, 400, 4000);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(1);
+  world.traffic({"busy", 40, 0.09, 0.5, 0.4, 4, 8 * kS, 20 * kS});
+  world.run(19 * kS);
+  const auto before = world.bellows.instances_of("busy");
+  CHECK(before >= 1 && before <= 2);
+  world.traffic({"busy", 120, 0.09, 0.5, 0.4, 4, 20 * kS, 30 * kS});
+  world.run(21 * kS);
+  CHECK(world.bellows.instances_of("busy") > before);
+}
+
+TEST(Bellows, IdleInstancesAreKeptForWhatAStartIsWorthAndThenStopped) {
+  World world(8);
+  stand_up(world);
+  world.run(8 * kS);
+  world.request("f0");
+  world.run(world.now + 2500 * kMs);
+  CHECK_EQUAL(1, world.alive("f0"));
+  world.run(world.now + 8 * kS);
+  CHECK_EQUAL(0, world.alive("f0"));
+  CHECK_EQUAL(0, world.board.size());
+  CHECK_EQUAL(0, world.tally.stopped_busy);
+}
+
+TEST(Bellows, NothingIsStoppedInATermsFirstSecondsNorWithoutProxies) {
+  World world(9);
+  stand_up(world);
+  world.request("f0");
+  world.run(world.now + 1800 * kMs);
+  world.begin(8);  // another holder, which learns of the instance by the list
+  const auto from = world.now;
+  world.home_reports = false;
+  world.run(from + 4900 * kMs);
+  CHECK_EQUAL(1, world.alive("f0"));
+  CHECK_EQUAL(1, world.bellows.instances_of("f0"));
+  world.proxies({});
+  world.run(from + 20 * kS);
+  CHECK_EQUAL(1, world.alive("f0"));  // nobody can say that it's idle
+  world.proxies(kPeers);
+  world.run(from + 40 * kS);
+  CHECK_EQUAL(0, world.alive("f0"));
+}
+
+TEST(Bellows, AHomeThatChangesGivesItsInstancesAWholeKeep) {
+  World world(10);
+  stand_up(world);
+  world.run(8 * kS);
+  world.request("f0");
+  world.run(world.now + 3500 * kMs);
+  CHECK_EQUAL(1, world.alive("f0"));
+  auto peers = kPeers;
+  peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(toolbox::homes("f0", kPeers).front()));
+  world.proxies(peers);
+  world.run(world.now + 2500 * kMs);
+  CHECK_EQUAL(1, world.alive("f0"));
+}
+
+TEST(Bellows, DrainingInstancesAreReplacedAheadOfTheirEnd) {
+  World world(11);
+  stand_up(world);
+  world.traffic({"f0", 4, 0.08, 0.5, 1.5, 8, world.now, 30 * kS});
+  world.run(10 * kS);
+  const auto machine = world.board.begin()->second.machine;
+  world.drain(machine);
+  world.run(world.now + 3 * kS);
+  bool elsewhere = false;
+  for (const auto& [id, instance] : world.board)
+    elsewhere |= instance.service == "f0" && instance.machine != machine &&
+                 instance.condition == toolbox::Condition::ready;
+  CHECK(elsewhere);
+  world.run(30 * kS);
+  CHECK_EQUAL(0, world.tally.drained_late);
+  CHECK_EQUAL(0, world.tally.lost);
+}
+
+TEST(Bellows, AMachineThatIsGoneTakesItsInstancesAndTheyAreReplaced) {
+  World world(12);
+  stand_up(world);
+  world.traffic({"f0", 4, 0.08, 0.5, 1.5, 8, world.now, 40 * kS});
+  world.run(10 * kS);
+  const auto machine = world.board.begin()->second.machine;
+  world.crash(machine, 30 * kS);
+  world.run(world.now + 4 * kS);
+  for (const auto& [id, instance] : world.board) CHECK(instance.machine != machine);
+  CHECK(world.bellows.instances_of("f0") >= 1);
+  world.run(20 * kS);
+  CHECK(world.alive("f0") >= 1);
+}
+
+TEST(Bellows, AnInstanceThatIsReportedLostIsReplacedAtOnceAndStoppedIfItLives) {
+  World world(13);
+  stand_up(world);
+  world.traffic({"f0", 4, 0.08, 0.5, 1.5, 8, world.now, 40 * kS});
+  world.run(10 * kS);
+  const auto id = world.board.begin()->first;
+  toolbox::Report report;
+  report.lost.push_back(id);
+  const auto orders = world.orders.size();
+  world.report("p1", report);
+  CHECK(world.orders.size() > orders);
+  CHECK(world.orders.back().start);
+  world.run(world.now + 10 * kMs);
+  CHECK(!world.board.contains(id));
+  world.run(world.now + 12 * kS);
+  const auto stopped = std::count_if(world.orders.begin(), world.orders.end(),
+                                     [&](const Order& o) { return !o.start && o.id == id; });
+  CHECK_EQUAL(1, stopped);
+}
+
+TEST(Bellows, AStartThatNeverComesUpIsStoppedByCall) {
+  World world(14);
+  stand_up(world);
+  world.frozen_lists = true;
+  world.home_reports = false;
+  world.report("p1", held("f0", 1, 1));
+  world.run(world.now + 10 * kS);
+  const auto stops =
+      std::count_if(world.orders.begin(), world.orders.end(), [](const Order& o) { return !o.start; });
+  CHECK_EQUAL(1, stops);
+}
+
+TEST(Bellows, AnotherTermForgetsAllAndAdoptsWhatTheListShows) {
+  World world(15);
+  stand_up(world);
+  world.request("f0");
+  world.run(world.now + 3 * kS);
+  const auto id = world.board.begin()->first;
+  world.begin(9);
+  CHECK(world.bellows.changes().changed.empty());
+  CHECK_EQUAL(0, world.bellows.instances_of("f0"));
+  CHECK(!world.bellows.knows_instances());
+  world.bellows.answered(world.now, world.orders.back().ticket, bellows::Outcome::done, "i-old",
+                         "addr");  // too late
+  CHECK_EQUAL(0, world.bellows.instances_of("f0"));
+  world.run(world.now + kS);
+  CHECK(world.board.contains(id));
+}
+
+TEST(Bellows, InstancesOfAServiceThatLeftThePlanAreStoppedAfterAGrace) {
+  World world(16);
+  stand_up(world);
+  world.traffic({"f0", 4, 0.08, 0.5, 1.5, 8, world.now, 10 * kS});
+  world.run(10 * kS);
+  CHECK(world.alive("f0") >= 1);
+  auto plan = std::make_shared<toolbox::Plan>();
+  plan->version = 2;
+  world.bellows.plan(world.now, plan);
+  world.run(world.now + 4 * kS);
+  CHECK(world.alive("f0") >= 1);
+  world.run(world.now + 6 * kS);
+  CHECK_EQUAL(0, world.alive("f0"));
+}
+
+TEST(Bellows, WhereMemoryIsShortWaitingRequestsComeBeforeIdleInstances) {
+  World world(17);
+  world.machine("w", "a", 512);
+  for (int n = 0; n < 6; ++n) world.service("f" + std::to_string(n), 128, 900, 1, 1500);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(1);
+  world.run(7 * kS);
+  for (int n = 0; n < 4; ++n) world.request("f" + std::to_string(n));
+  world.run(world.now + 3 * kS);
+  world.request("f4");
+  world.request("f5");
+  world.run(world.now + 4500 * kMs);
+  CHECK_EQUAL(0, world.tally.lost);
+  CHECK_EQUAL(6, world.tally.in_time + world.tally.late);
+  CHECK_EQUAL(0, world.tally.no_room);
+}
+
+TEST(Bellows, CallsStayBelowTheProvidersRate) {
+  Knobs knobs;
+  Bounds bounds{800 * kMs, 3000 * kMs, 20};
+  World world(18, knobs, bounds);
+  world.fleet(4, 9000);
+  for (int n = 0; n < 200; ++n) world.service("f" + std::to_string(n), 128, 900, 1, 1500);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(1);
+  world.run(3 * kS);
+  for (int n = 0; n < 200; ++n) world.request("f" + std::to_string(n));
+  const auto before = world.orders.size();
+  world.run(world.now + kS);
+  CHECK(world.orders.size() - before <= 16);
+  world.run(world.now + 20 * kS);
+  CHECK(world.tally.starts >= 150);
+}
--- /dev/null
+++ b/tests/platform/bellows/board_test.cpp
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <random>
+
+#include "anvil/board.h"
+
+// Last: its macros for new and delete break the standard library's headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace woadridge;
+
+TEST_GROUP(Board){};
+
+// Whoever applies the differences, in whatever steps, ends with what one that is told everything holds.
+TEST(Board, DifferencesComeToTheSameAsTheWhole) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937_64 random(seed);
+    anvil::Board board;
+    std::uint64_t term = 1;
+    board.begin(term);
+    std::vector<toolbox::Board> agents(4);
+    for (int n = 0; n < 2000; ++n) {
+      const auto id = "i-" + std::to_string(random() % 40);
+      switch (random() % 12) {
+        case 0:
+          board.peers({{"p" + std::to_string(random() % 3), "a", "10.0.0.1:1"}});
+          break;
+        case 1:
+        case 2:
+        case 3:
+          board.gone(id);
+          break;
+        case 4:
+          if (random() % 100 == 0) board.begin(++term);
+          break;
+        default: {
+          toolbox::Instance instance;
+          instance.id = id;
+          instance.condition = static_cast<toolbox::Condition>(random() % 3);
+          board.change(instance);
+        }
+      }
+      auto& agent = agents[random() % agents.size()];
+      if (random() % 5 == 0 && board.newer_than(agent.term, agent.version))
+        agent.apply(board.since(agent.term, agent.version));
+    }
+    toolbox::Board whole;
+    whole.apply(board.since(0, 0));
+    for (auto& agent : agents) {
+      agent.apply(board.since(agent.term, agent.version));
+      CHECK_EQUAL(whole.version, agent.version);
+      CHECK(whole.instances == agent.instances);
+      CHECK(whole.peers == agent.peers);
+      CHECK(!board.newer_than(agent.term, agent.version));
+    }
+  }
+}
+
+TEST(Board, WhoIsTooFarBehindIsToldAll) {
+  anvil::Board board;
+  board.begin(1);
+  toolbox::Instance instance;
+  instance.id = "kept";
+  board.change(instance);
+  const auto old = board.version();
+  for (int n = 0; n < 5000; ++n) {
+    instance.id = "i-" + std::to_string(n);
+    board.change(instance);
+    board.gone(instance.id);
+  }
+  CHECK(board.since(1, old).whole);
+  CHECK(!board.since(1, board.version() - 10).whole);
+  CHECK(board.since(1, board.version() + 1).whole);  // it can't have heard that here
+}
+
+TEST(Board, WhatChangedNothingIsNoNews) {
+  anvil::Board board;
+  board.begin(1);
+  toolbox::Instance instance;
+  instance.id = "i";
+  board.change(instance);
+  const auto version = board.version();
+  board.change(instance);
+  board.peers({});
+  board.gone("unknown");
+  CHECK_EQUAL(version, board.version());
+}
+
+TEST_GROUP(Roll) {
+  anvil::Roll roll;
+  toolbox::Ask ask(const char* name, const char* proxy) {
+    toolbox::Ask a;
+    a.name = name;
+    a.zone = "a";
+    a.proxy = proxy;
+    return a;
+  }
+};
+
+TEST(Roll, AnAgentThatComesBackSoonIsNotMissed) {
+  roll.asked(1'000'000, ask("p", "1:1"));
+  roll.wire_ended(1'100'000, "p");
+  CHECK_EQUAL(1, roll.at(1'350'000).size());
+  roll.asked(1'380'000, ask("p", "1:1"));
+  CHECK_EQUAL(1, roll.at(1'900'000).size());
+  roll.wire_ended(2'000'000, "p");
+  CHECK_EQUAL(0, roll.at(2'400'000).size());
+}
+
+TEST(Roll, ASilentAgentIsTakenAway) {
+  roll.asked(1'000'000, ask("p", "1:1"));
+  CHECK_EQUAL(1, roll.at(3'400'000).size());
+  CHECK_EQUAL(0, roll.at(3'600'000).size());
+}
+
+TEST(Roll, WhoLeavesOrHasNoProxyIsNoHome) {
+  roll.asked(1'000'000, ask("p", "1:1"));
+  roll.asked(1'000'000, ask("q", ""));
+  CHECK_EQUAL(1, roll.at(1'000'000).size());
+  roll.leaving("p");
+  CHECK_EQUAL(0, roll.at(1'000'000).size());
+  roll.asked(1'100'000, ask("p", "1:1"));  // the question of one that is on its way out
+  CHECK_EQUAL(0, roll.at(1'100'000).size());
+  roll.asked(1'200'000, ask("p", ""));     // its proxy has ended ...
+  roll.asked(1'300'000, ask("p", "1:1"));  // ... and another is there
+  CHECK_EQUAL(1, roll.at(1'300'000).size());
+}
