--- a/src/jig/agent.cpp
+++ b/src/jig/agent.cpp
@@ -28,7 +28,7 @@
     std::is_same_v<std::variant_alternative_t<0, CoreSays>, std::variant_alternative_t<0, FeedSays>>);
 
 constexpr std::uint32_t kConnect = 1200;  // ms: a machine without power or behind a cut says nothing
-constexpr Millis kProxyComes = 300;       // after a start: the first question names the proxy, if it's up
+constexpr Millis kProxyComes = 800;       // after a start: the first question names the proxy, if it's up
 constexpr Millis kWouldHaveSaid = 300;
 constexpr Millis kNothingNew = 200;  // a holder that answers at once with nothing isn't asked in a loop
 constexpr Millis kStoodStill = 300;  // a timer so late: this process stood still, not the other
--- a/src/jig/main.cpp
+++ b/src/jig/main.cpp
@@ -1,7 +1,5 @@
 // jig, the agent beside each proxy.
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <sys/stat.h>
 
 #include <boost/asio/io_context.hpp>
@@ -10,32 +8,25 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <optional>
 #include <random>
 #include <string>
 #include <tuple>
 
 #include "jig/agent.h"
+#include "toolbox/flags.h"
 #include "toolbox/log.h"
 
 ABSL_FLAG(std::string, settings, "",
           "the node's settings file (TOML); else the one that WOADRIDGE_CONFIG names");
-ABSL_FLAG(std::string, log_level, "info", "the least level that is logged: debug, info, warning or error");
+ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
 namespace {
 
 using namespace woadridge;
 
+constexpr int kBadSettings = 2;
 constexpr auto kLookAgain = std::chrono::seconds(2);
 
-std::optional<toolbox::Level> level_of(const std::string& word) {
-  if (word == "debug") return toolbox::Level::debug;
-  if (word == "info") return toolbox::Level::info;
-  if (word == "warning") return toolbox::Level::warning;
-  if (word == "error") return toolbox::Level::error;
-  return std::nullopt;
-}
-
 // The settings file changes with SIGHUP or without any signal.
 class Watch {
  public:
@@ -113,22 +104,20 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "the agent beside a proxy: keeps the link to the core, feeds the proxy over loopback.\n"
-      "usage: jig [--settings FILE] [--log_level LEVEL]");
-  const auto rest = absl::ParseCommandLine(argc, argv);
-  const auto level = level_of(absl::GetFlag(FLAGS_log_level));
-  if (rest.size() > 1 || !level) {
-    std::fprintf(stderr, "jig: %s\n",
-                 level ? "takes no arguments but flags; see --help" : "unknown --log_level");
-    return 2;
+  const char* usage =
+      "the agent beside a proxy: keeps the link to the core machines, feeds the proxy over loopback";
+  if (!toolbox::parse_flags(usage, "src/jig/", argc, argv)) return kBadSettings;
+  const auto level = toolbox::level_named(absl::GetFlag(FLAGS_log_level));
+  if (!level) {
+    std::fprintf(stderr, "jig: --log_level: debug, info, warning or error\n");
+    return kBadSettings;
   }
   std::signal(SIGPIPE, SIG_IGN);  // a write to a closed connection is an error there, not an end here
   std::string path = absl::GetFlag(FLAGS_settings);
   const auto settings = toolbox::load_settings_or(path);
   if (!settings) {
     std::fprintf(stderr, "jig: %s\n", settings.error().what.c_str());
-    return 2;
+    return kBadSettings;
   }
   if (path.empty()) path = std::getenv("WOADRIDGE_CONFIG");
   toolbox::open_log("jig", settings.value().node_name, *level);
