--- a/src/toolbox/frames.h
+++ b/src/toolbox/frames.h
@@ -2,14 +2,14 @@
 // Junk closes that connection and nothing else.
 #pragma once
 
-#include <boost/asio/coroutine.hpp>
 #include <cereal/archives/binary.hpp>
+#include <cereal/types/common.hpp>
+#include <cstring>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <sstream>
-#include <streambuf>
 #include <string>
 #include <string_view>
 
@@ -33,19 +33,65 @@
   return std::move(out).str();
 }
 
+class Input;
+
+}  // namespace woadridge::toolbox
+
+template <>  // what writes for it
+struct cereal::traits::detail::get_output_from_input<woadridge::toolbox::Input> {
+  using type = cereal::BinaryOutputArchive;
+};
+
+namespace woadridge::toolbox {
+
+// Reads what pack() wrote. Guards against junk whose lengths ask for more memory than there is: no length is
+// believed that the bytes behind it can't fill.
+class Input : public cereal::InputArchive<Input, cereal::AllowEmptyClassElision> {
+ public:
+  explicit Input(std::string_view bytes) : InputArchive(this), left_(bytes) {}
+  void loadBinary(void* to, std::size_t size) {
+    if (size > left_.size()) throw cereal::Exception("cut short");
+    std::memcpy(to, left_.data(), size);
+    left_.remove_prefix(size);
+  }
+  std::size_t left() const { return left_.size(); }
+
+ private:
+  std::string_view left_;
+};
+
+template <class T>
+  requires std::is_arithmetic_v<T>
+void CEREAL_LOAD_FUNCTION_NAME(Input& in, T& value) {
+  if constexpr (std::is_same_v<T, bool>) {  // other bytes than 0 and 1 would be no bool
+    std::uint8_t byte = 0;
+    in.loadBinary(&byte, sizeof byte);
+    value = byte != 0;
+  } else {
+    in.loadBinary(std::addressof(value), sizeof value);
+  }
+}
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(Input& in, cereal::SizeTag<T>& tag) {
+  in(tag.size);
+  if (tag.size > in.left()) throw cereal::Exception("a length beyond the message");
+}
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(Input& in, cereal::NameValuePair<T>& pair) {
+  in(pair.value);
+}
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(Input& in, cereal::BinaryData<T>& data) {
+  in.loadBinary(data.data, static_cast<std::size_t>(data.size));
+}
+
 template <class Message>
 std::optional<Message> unpack(std::string_view bytes) {  // none: not such a message
-  struct View : std::streambuf {
-    explicit View(std::string_view b) {
-      char* at = const_cast<char*>(b.data());  // a stream buffer never writes to what it reads
-      setg(at, at, at + b.size());
-    }
-  } view(bytes);
-  std::istream in(&view);
+  Input in(bytes);
   try {
     Message message;
-    cereal::BinaryInputArchive{in}(message);
-    if (in.peek() != std::istream::traits_type::eof()) return std::nullopt;
+    in(message);
+    if (in.left() > 0) return std::nullopt;
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/toolbox/settings.cpp
+++ b/src/toolbox/settings.cpp
@@ -153,6 +153,7 @@
   in.place("bind-addrs.front-http", s.front);
   in.place("bind-addrs.readiness", s.readiness);
   in.place("bind-addrs.control-plane", s.control);
+  in.place("bind-addrs.feed", s.own_feed);
   in.number("limits.cpu-fraction", s.cpu_fraction, 0.001, 4096);
   in.number("limits.memory-mb", s.memory_mb, 1, kMost);
   in.number("limits.max-fds", s.max_fds, 16, kMost);
--- a/src/toolbox/settings.h
+++ b/src/toolbox/settings.h
@@ -28,6 +28,7 @@
   std::uint32_t heartbeat_ms = 1000;
   std::map<std::string, std::string> zones;  // zone -> region
   Place front, readiness, control;           // port 0: not served
+  Place own_feed;                            // of several edges on one machine; port 0: the usual place
   double cpu_fraction = 1;
   std::uint32_t memory_mb = 256, max_fds = 1024, disk_mb = 0;
   double link_mbps = 1000;
@@ -44,7 +45,9 @@
   // The platform's own ports, the same on all machines of a day.
   Place core_link(const std::string& at) const { return {at, first_port}; }  // agents and core to core
   Place peer_link() const { return {ip, static_cast<std::uint16_t>(first_port + 1)}; }  // proxy to proxy
-  Place feed() const { return {"127.0.0.1", static_cast<std::uint16_t>(first_port + 2)}; }  // agent's, for its proxy
+  Place feed() const {  // agent's, for its proxy
+    return own_feed.port != 0 ? own_feed : Place{"127.0.0.1", static_cast<std::uint16_t>(first_port + 2)};
+  }
 };
 
 Result<Settings> read_settings(const std::string& text);  // unknown keys are skipped
--- /dev/null
+++ b/tests/platform/lathe/front_test.cpp
@@ -0,0 +1,230 @@
+// The proxy between a played client and played instances, on loopback: no time passes but for what is asked of
+// the loop, and each run of it is bounded.
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+
+#include "lathe/front.h"
+
+using namespace woadridge;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto kBound = std::chrono::seconds(5);
+
+class Played {  // an instance, or a peer: answers each request on its list, or closes where that says so
+ public:
+  explicit Played(boost::asio::io_context& loop)
+      : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+  std::vector<std::string> asked;
+  std::deque<std::string> answers;  // {id} stands for the request's own; empty: it closes
+
+ private:
+  struct Line {
+    explicit Line(tcp::socket s) : socket(std::move(s)) {}
+    tcp::socket socket;
+    std::string in;
+  };
+  void accept() {
+    acceptor_.async_accept([this](boost::system::error_code failed, tcp::socket socket) {
+      if (failed) return;
+      read(std::make_shared<Line>(std::move(socket)));
+      accept();
+    });
+  }
+  void read(std::shared_ptr<Line> line) {
+    boost::asio::async_read_until(line->socket, boost::asio::dynamic_buffer(line->in), "\r\n\r\n",
+                                  [this, line](boost::system::error_code failed, std::size_t) {
+                                    if (failed) return;
+                                    asked.push_back(line->in);
+                                    line->in.clear();
+                                    answer(line);
+                                  });
+  }
+  void answer(std::shared_ptr<Line> line) {
+    if (answers.empty() || answers.front().empty()) {
+      if (!answers.empty()) answers.pop_front();
+      line->socket.close();
+      return;
+    }
+    std::string text = answers.front();
+    answers.pop_front();
+    const auto& request = asked.back();
+    const auto at = request.find("Attempt-Id: ") + 12;
+    const auto id = request.substr(at, request.find("\r\n", at) - at);
+    for (auto p = text.find("{id}"); p != std::string::npos; p = text.find("{id}")) text.replace(p, 4, id);
+    boost::asio::write(line->socket, boost::asio::buffer(text));
+    read(line);
+  }
+  tcp::acceptor acceptor_;
+};
+
+const std::string kGood =
+    "HTTP/1.1 200 OK\r\nX-Woadridge-Attempt-Id: {id}\r\nX-Woadridge-Instance-Seal: s.1\r\nContent-Length: "
+    "2\r\n\r\nok";
+const std::string kShed =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Woadridge-Attempt-Id: {id}\r\nX-Woadridge-Not-Executed: "
+    "1\r\nContent-Length: 0\r\n\r\n";
+
+toolbox::Settings settings() {
+  toolbox::Settings s;
+  s.node_name = "me";
+  s.zone = "a";
+  s.max_fds = 1024;
+  return s;
+}
+
+}  // namespace
+
+TEST_GROUP(Front) {
+  boost::asio::io_context loop;
+  net::Strand strand{boost::asio::make_strand(loop)};
+  std::unique_ptr<lathe::Desk> desk;
+  std::unique_ptr<lathe::Front> front;
+  std::uint16_t port = 0;
+
+  void setup() override {
+    desk = std::make_unique<lathe::Desk>(strand, settings());
+    front = std::make_unique<lathe::Front>(strand, *desk);
+    tcp::acceptor probe(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    port = probe.local_endpoint().port();
+    probe.close();
+    CHECK(front->open(lathe::Door::clients, {"127.0.0.1", port}).has_value());
+  }
+  void teardown() override {
+    front->stop();
+    desk->stop();
+    while (loop.poll() > 0) continue;
+    front.reset();
+    desk.reset();
+  }
+  void plan_and(std::vector<toolbox::Instance> instances, std::vector<toolbox::Peer> peers = {{"me", "a", ""}}) {
+    toolbox::News news;
+    news.term = news.board = 1;
+    news.whole = news.peers_told = news.plan_told = true;
+    news.plan.version = 1;
+    news.plan.routes = {{"read", "h.example", "/r/", "fn", true, 4000, 400, 1, 2},
+                        {"write", "h.example", "/w/", "fn", false, 4000, 400, 1, 2}};
+    news.plan.services = {{"fn", "", 100, 128, 900, 1}};
+    news.peers = std::move(peers);
+    news.changed = std::move(instances);
+    desk->told(news);
+  }
+  toolbox::Instance at(const Played& played, const char* id) {
+    return {id, "fn", played.address(), "a", "m1", 1, toolbox::Condition::ready, 0};
+  }
+  std::string ask(const std::string& what, const std::string& id = "77") {
+    const std::string text = what + " HTTP/1.1\r\nHost: h.example\r\nX-Woadridge-Attempt-Id: " + id +
+                             "\r\nX-Woadridge-Deadline-Ms: 2000\r\nX-Own: kept\r\n\r\n";
+    tcp::socket client(loop);
+    client.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    boost::asio::write(client, boost::asio::buffer(text));
+    std::string answer;
+    bool done = false;
+    boost::asio::async_read_until(client, boost::asio::dynamic_buffer(answer), "\r\n\r\n",
+                                  [&](boost::system::error_code, std::size_t) { done = true; });
+    const auto until = std::chrono::steady_clock::now() + kBound;
+    while (!done && std::chrono::steady_clock::now() < until) loop.run_one_for(kBound);
+    CHECK(done);
+    return answer;
+  }
+};
+
+TEST(Front, ARequestGoesThroughUnchangedAndComesBackWithItsSeal) {
+  Played one(loop);
+  one.answers = {kGood};
+  plan_and({at(one, "i-1")});
+  const auto answer = ask("GET /r/x?q=1");
+  STRCMP_CONTAINS("HTTP/1.1 200", answer.c_str());
+  STRCMP_CONTAINS("X-Woadridge-Instance-Seal: s.1", answer.c_str());
+  LONGS_EQUAL(1, one.asked.size());
+  STRCMP_CONTAINS("GET /r/x?q=1 HTTP/1.1", one.asked[0].c_str());
+  STRCMP_CONTAINS("X-Woadridge-Target-Instance: i-1", one.asked[0].c_str());
+  STRCMP_CONTAINS("X-Own: kept", one.asked[0].c_str());
+  STRCMP_CONTAINS("X-Woadridge-Attempt-Id: 77", one.asked[0].c_str());
+}
+
+TEST(Front, WithoutARouteItIs404AndBeforeAnyPlanAPromise) {
+  STRCMP_CONTAINS("HTTP/1.1 503", ask("GET /r/x").c_str());
+  Played one(loop);
+  plan_and({at(one, "i-1")});
+  STRCMP_CONTAINS("HTTP/1.1 404", ask("GET /q/x").c_str());
+  LONGS_EQUAL(0, one.asked.size());
+}
+
+// Guards against one answer too many that comes in the next one's place.
+TEST(Front, ALateAnswerOfAnotherIdIsReadAway) {
+  Played one(loop);
+  const std::string late =
+      "HTTP/1.1 200 OK\r\nX-Woadridge-Attempt-Id: 11\r\nX-Woadridge-Instance-Seal: s.0\r\nContent-Length: "
+      "3\r\n\r\nold";
+  one.answers = {late + kGood};
+  plan_and({at(one, "i-1")});
+  const auto answer = ask("GET /r/x");
+  STRCMP_CONTAINS("X-Woadridge-Instance-Seal: s.1", answer.c_str());
+  CHECK(answer.find("old") == std::string::npos);
+}
+
+TEST(Front, ASuccessWithoutSealIsNoneAndMayHaveRun) {
+  Played one(loop);
+  const std::string bare = "HTTP/1.1 200 OK\r\nX-Woadridge-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok";
+  one.answers = {bare, bare};
+  plan_and({at(one, "i-1")});
+  STRCMP_CONTAINS("HTTP/1.1 502", ask("POST /w/x").c_str());
+  LONGS_EQUAL(1, one.asked.size());
+}
+
+TEST(Front, APromiseThatAnInstanceDidNotMakeIsNotPassedOn) {
+  Played one(loop);
+  one.answers = {"HTTP/1.1 503 Busy\r\nX-Woadridge-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n"};
+  plan_and({at(one, "i-1")});
+  STRCMP_CONTAINS("HTTP/1.1 502", ask("POST /w/x").c_str());
+}
+
+TEST(Front, WhatWasTurnedAwayGoesToAnotherInstanceThoughItMayNotRunTwice) {
+  Played one(loop), two(loop);
+  one.answers = {kShed, kGood};
+  two.answers = {kShed, kGood};
+  plan_and({at(one, "i-1"), at(two, "i-2")});
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
+  LONGS_EQUAL(2, one.asked.size() + two.asked.size());
+}
+
+TEST(Front, WhatBrokeAfterItWasSentIsSentAgainOnlyIfItMayBeRepeated) {
+  Played one(loop), two(loop);
+  one.answers = {""};
+  two.answers = {""};
+  plan_and({at(one, "i-1"), at(two, "i-2")});
+  STRCMP_CONTAINS("HTTP/1.1 502", ask("POST /w/x").c_str());
+  LONGS_EQUAL(1, one.asked.size() + two.asked.size());
+  one.asked.clear();
+  two.asked.clear();
+  one.answers = two.answers = {"", kGood};
+  const auto again = ask("GET /r/x");
+  LONGS_EQUAL(2, one.asked.size() + two.asked.size());
+  CHECK(again.find("200 OK") != std::string::npos || again.find(" 502 ") != std::string::npos);
+}
+
+TEST(Front, AFunctionWhoseHomeIsElsewhereIsPassedOnWithTheRouteAsSeenHere) {
+  Played peer(loop);
+  peer.answers = {kGood};
+  plan_and({}, {{"other", "a", peer.address()}});
+  STRCMP_CONTAINS("X-Woadridge-Instance-Seal: s.1", ask("GET /r/x").c_str());
+  STRCMP_CONTAINS("X-Woadridge-Via: fn;read;r;2;400;4000", peer.asked[0].c_str());
+}
+
+TEST(Front, AHomeThatRefusesConnectionsIsPassedOver) {
+  Played one(loop);
+  one.answers = {kGood};
+  tcp::acceptor closed(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const auto gone = "127.0.0.1:" + std::to_string(closed.local_endpoint().port());
+  closed.close();
+  plan_and({at(one, "i-1")}, {{"other", "a", gone}});
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
+}
--- /dev/null
+++ b/tests/platform/lathe/toolbox_test.cpp
@@ -0,0 +1,110 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "toolbox/frames.h"
+#include "toolbox/homes.h"
+#include "toolbox/settings.h"
+
+using namespace woadridge;
+
+namespace {
+
+const char* const kNode = R"(
+node-name = "n1"
+ip = "10.0.0.1"
+zone = "a"
+internal-ports = [7000,7015]
+seed-nodes = ["10.0.0.9:8000"]
+a-later-field = [1,2]
+[bind-addrs]
+front-http = "10.0.0.1:80"
+[bounds]
+contact-ms = 4321
+a-later-bound = "x"
+[provider]
+address = "10.9.9.9:1"
+rate-per-s = 26.0
+)";
+
+std::string with(const std::string& from, const std::string& to) {
+  std::string text = kNode;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_GROUP(NodeSettings){};
+
+TEST(NodeSettings, AreReadAndUnknownKeysSkipped) {
+  const auto read = toolbox::read_settings(kNode);
+  CHECK(read.has_value());
+  LONGS_EQUAL(4321, read.value().contact_ms);
+  LONGS_EQUAL(80, read.value().front.port);
+  STRCMP_EQUAL("10.0.0.1:7001", read.value().peer_link().text().c_str());
+}
+
+TEST(NodeSettings, AFaultIsNamedByItsKey) {
+  const std::pair<std::string, std::string> faults[] = {
+      {with("node-name = \"n1\"", ""), "node-name"},
+      {with("zone = \"a\"", "zone = 7"), "zone"},
+      {with("[7000,7015]", "[7000,7001]"), "internal-ports"},
+      {with("10.0.0.9:8000", "10.0.0.9"), "seed-nodes"},
+      {with("contact-ms = 4321", "contact-ms = -1"), "bounds.contact-ms"},
+      {with("rate-per-s = 26.0", "rate-per-s = 0"), "provider.rate-per-s"}};
+  for (const auto& [text, key] : faults) {
+    const auto read = toolbox::read_settings(text);
+    CHECK_FALSE(read.has_value());
+    STRCMP_CONTAINS(key.c_str(), read.error().what.c_str());
+  }
+  CHECK_FALSE(toolbox::read_settings("node-name = ").has_value());
+}
+
+TEST_GROUP(Frames){};
+
+TEST(Frames, CutOrChangedBytesAreNoMessageOrAnotherButNeverMore) {
+  toolbox::Report report;
+  report.lost = {"i-1", "i-2"};
+  report.demand.push_back({"f", 1, 2, 3, 4, 5, 6, 7});
+  const std::string bytes = toolbox::pack(toolbox::ProxySays{report});
+  CHECK(toolbox::unpack<toolbox::ProxySays>(bytes).has_value());
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+    CHECK_FALSE(toolbox::unpack<toolbox::ProxySays>(std::string_view(bytes).substr(0, cut)).has_value());
+  CHECK_FALSE(toolbox::unpack<toolbox::ProxySays>(bytes + "x").has_value());
+  std::minstd_rand random(7);
+  for (int i = 0; i < 2000; ++i) {  // junk may ask for any length: it must end, and soon
+    std::string junk = bytes;
+    junk[random() % junk.size()] = static_cast<char>(random());
+    (void)toolbox::unpack<toolbox::ProxySays>(junk);
+  }
+}
+
+TEST_GROUP(Homes) {
+  std::vector<toolbox::Peer> peers(int n) {
+    std::vector<toolbox::Peer> all;
+    for (int i = 0; i < n; ++i) all.push_back({"edge-" + std::to_string(i), "z", ""});
+    return all;
+  }
+  std::string home(const std::string& service, const std::vector<toolbox::Peer>& all) {
+    return all[toolbox::homes(service, all).front()].name;
+  }
+};
+
+TEST(Homes, DoNotDependOnTheOrderAndMoveOnlyWithTheirOwnPeer) {
+  auto all = peers(9);
+  std::map<std::string, int> load;
+  for (int i = 0; i < 900; ++i) {
+    const auto service = "fn" + std::to_string(i);
+    auto turned = all;
+    std::reverse(turned.begin(), turned.end());
+    const auto before = home(service, all);
+    STRCMP_EQUAL(before.c_str(), home(service, turned).c_str());
+    ++load[before];
+    auto fewer = all;
+    fewer.erase(fewer.begin() + 4);
+    if (before != "edge-4") STRCMP_EQUAL(before.c_str(), home(service, fewer).c_str());
+  }
+  for (const auto& [name, functions] : load) CHECK(functions > 60 && functions < 140);
+}
