Peers of a new term wait for those of the last; idle instances go a little sooner

Cause: told of the agents that had come back within 0.6 s, proxies would take over functions whose homes serve on by the earlier board, and two homes fill one instance. Ruled out: a longer fixed wait (the founding needs none). Change: instances are told as soon as they are known, peers once no newcomer has come for a second, 4 s at most.

--- a/src/anvil/board.cpp
+++ b/src/anvil/board.cpp
@@ -10,6 +10,10 @@
 constexpr Micros kWireBack = 300'000;   // an agent that restarts is back within this, its proxy serves on
 constexpr Micros kSilence = 2'500'000;  // agents ask at least each second: two questions missed
 
+constexpr Micros kFounding = 600'000;      // nobody holds a board: there is nothing to disturb
+constexpr Micros kNoNewcomer = 1'000'000;  // agents find the holder within a few tries, all at about one time
+constexpr Micros kLatest = 4'000'000;      // who isn't back by now is served by others
+
 }  // namespace
 
 void Board::begin(std::uint64_t term) {
@@ -56,8 +60,24 @@
   return news;
 }
 
+void Roll::begin(Micros now) {
+  *this = Roll();
+  began_ = newest_at_ = now;
+}
+
+bool Roll::settled(Micros now) {
+  if (settled_) return true;
+  settled_ =
+      earlier_ ? now - newest_at_ >= kNoNewcomer || now - began_ >= kLatest : now - began_ >= kFounding;
+  return settled_;
+}
+
 void Roll::asked(Micros now, const toolbox::Ask& ask) {
   auto& entry = entries_[ask.name];
+  if (entry.asked_at == 0) {
+    newest_at_ = now;
+    earlier_ |= ask.term > 0;
+  }
   if (ask.proxy.empty() || entry.ended_at > 0)
     entry.leaving = false;  // that one has ended; the next one stays
   entry.peer = {ask.name, ask.zone, ask.proxy};
--- a/src/anvil/board.h
+++ b/src/anvil/board.h
@@ -44,12 +44,15 @@
 
 class Roll {  // of the proxies, by their agents' questions
  public:
-  void clear() { entries_.clear(); }
+  void begin(Micros now);  // of a term: nobody is known
   void asked(Micros now, const toolbox::Ask& ask);
   void leaving(const std::string& name);
   void wire_ended(Micros now, const std::string& name);
   std::vector<toolbox::Peer> at(Micros now);  // by name; forgets those that are gone
-  bool knows(const std::string& name) const { return entries_.contains(name); }
+  // Whether those of an earlier term are back, as far as can be known: told of half of them, the proxies
+  // would take the other half's functions for their own while those serve on. Once settled, it is for the
+  // term.
+  bool settled(Micros now);
 
  private:
   struct Entry {
@@ -58,6 +61,9 @@
     bool leaving = false;
   };
   std::map<std::string, Entry> entries_;
+  Micros began_ = 0, newest_at_ = 0;  // newest_at_: the last newcomer's time
+  bool earlier_ = false;              // someone holds the board of an earlier term
+  bool settled_ = false;
 };
 
 }  // namespace woadridge::anvil
--- a/src/anvil/foreman.cpp
+++ b/src/anvil/foreman.cpp
@@ -87,7 +87,7 @@
   provider_.close();  // an earlier term's calls are not waited for
   provider_.hold(term);
   board_.begin(term);
-  roll_.clear();
+  roll_.begin(began_);
   bellows_->begin(began_, term);
   for (const auto& agent : agents_)
     if (agent->asked_at > 0) roll_.asked(began_, agent->ask);
@@ -103,7 +103,7 @@
   pulse_timer_.cancel();
   step_timer_.cancel();
   board_.begin(0);
-  roll_.clear();
+  roll_.begin(0);
   bellows_->begin(now_us(), 0);
   const auto agents = agents_;
   for (const auto& agent : agents)
@@ -217,9 +217,8 @@
 }
 
 void Foreman::look_at_peers(Micros now) {
-  if (now - began_ < ms(knobs_.gather_ms)) return;
   auto peers = roll_.at(now);
-  if (peers == board_.peers()) return;
+  if (!roll_.settled(now) || peers == board_.peers()) return;
   if (toolbox::logs(toolbox::Level::debug))
     toolbox::debug("proxies", {{"count", std::to_string(peers.size())}});
   board_.peers(peers);
@@ -257,6 +256,8 @@
   toolbox::News news;
   if (board_news) {
     news = board_.since(agent.ask.term, agent.ask.board);
+    // Until all are back, whoever holds the peers of an earlier term goes by them.
+    if (board_.peers().empty()) news.peers_told = false;
   } else {
     news.term = agent.ask.term;  // what it holds stays as it is
     news.board = agent.ask.board;
--- a/src/anvil/foreman.h
+++ b/src/anvil/foreman.h
@@ -21,7 +21,8 @@
 
 struct ForemanKnobs {  // times in milliseconds
   bellows::Knobs policy;
-  std::uint32_t gather_ms = 600;     // of a term, before peers are told: agents come back one by one
+  std::uint32_t gather_ms =
+      600;  // of a term, before its board is told: the list still gains what was started last
   std::uint32_t answer_ms = 1000;    // a question without news is answered after so long
   std::uint32_t pause_ms = 20;       // between two pieces of news to one agent: changes come in flocks
   std::uint32_t pulse_ms = 100;      // how often waits and levels are looked at
--- a/src/bellows/bellows.cpp
+++ b/src/bellows/bellows.cpp
@@ -468,7 +468,7 @@
   const auto keep = [&](std::size_t level) {
     const bool rare = level == 0 && now - f.planned_at > knobs_.keep_most / 3 &&
                       reading.long_rate * cold < knobs_.rare * gb;
-    const double worth_s = (level == 0 ? cold : knobs_.prices.start) / gb;
+    const double worth_s = knobs_.keep * (level == 0 ? cold : knobs_.prices.start) / gb;
     return rare ? knobs_.keep_least : std::clamp(micros(worth_s), knobs_.keep_least, knobs_.keep_most);
   };
 
--- a/src/bellows/bellows.h
+++ b/src/bellows/bellows.h
@@ -23,6 +23,7 @@
 struct Knobs {
   Prices prices;
   double margin = 1.25;        // traffic reckoned with, over what is seen
+  double keep = 0.7;           // of the time that a start is worth, an idle instance is kept
   double rare = 0.5;           // below this part of break-even a function is let go as soon as it is idle
   double share_of_duty = 0.6;  // of the provider's starts and stops a second
   double linger = 0.45;        // of drain-ms: a leaving instance works on while its replacement starts
--- a/src/bellows/need.h
+++ b/src/bellows/need.h
@@ -10,7 +10,7 @@
 
 struct Prices {
   double start = 0.47;  // a start costs as much as so many GB for a second; operators differ little in it
-  double late = 0.75;   // an answer that misses its aim, likewise
+  double late = 0.5;    // an answer that misses its aim, likewise
   double lost = 1.5;    // a request that misses its deadline, likewise
 };
 
--- a/tests/platform/bellows/bellows_test.cpp
+++ b/tests/platform/bellows/bellows_test.cpp
@@ -194,12 +194,12 @@
   stand_up(world);
   world.run(8 * kS);
   world.request("f0");
-  world.run(world.now + 3500 * kMs);
+  world.run(world.now + 3000 * kMs);
   CHECK_EQUAL(1, world.alive("f0"));
   auto peers = kPeers;
   peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(toolbox::homes("f0", kPeers).front()));
   world.proxies(peers);
-  world.run(world.now + 2500 * kMs);
+  world.run(world.now + 2200 * kMs);
   CHECK_EQUAL(1, world.alive("f0"));
 }
 
--- a/tests/platform/bellows/board_test.cpp
+++ b/tests/platform/bellows/board_test.cpp
@@ -124,3 +124,23 @@
   roll.asked(1'300'000, ask("p", "1:1"));  // ... and another is there
   CHECK_EQUAL(1, roll.at(1'300'000).size());
 }
+
+TEST(Roll, ProxiesOfAnEarlierTermAreWaitedFor) {
+  roll.begin(1'000'000);
+  auto first = ask("p", "1:1");
+  first.term = 4;
+  roll.asked(1'100'000, first);
+  CHECK(!roll.settled(1'900'000));
+  roll.asked(1'950'000, ask("q", "1:2"));
+  CHECK(!roll.settled(2'800'000));
+  CHECK(roll.settled(2'960'000));
+  roll.asked(3'000'000, ask("r", "1:3"));
+  CHECK(roll.settled(3'000'000));
+}
+
+TEST(Roll, AtTheFoundingNobodyIsDisturbed) {
+  roll.begin(1'000'000);
+  roll.asked(1'500'000, ask("p", "1:1"));
+  CHECK(!roll.settled(1'550'000));
+  CHECK(roll.settled(1'600'000));
+}
--- a/tests/platform/bellows/days_test.cpp
+++ b/tests/platform/bellows/days_test.cpp
@@ -48,7 +48,7 @@
     CHECK_EQUAL(0, world.tally.refused_full);
     CHECK(world.tally.requests > 100);
     world.run(90 * kS);
-    for (const auto& [id, instance] : world.board) FAIL("an instance stays without demand");
+    CHECK(world.board.empty());  // nothing stays without demand
   }
 }
 
