Told slots: the module counts them, refuses what can't be served in time, and holds through a cold start

Cause: where an instance's concurrency is configured, the module still looked for one slot more than it had seen, judged a worker out for 0.5 to 8 s after "full", refused whatever was late for its aim, and took each percent above the 99th for big. Ruled out: a second module for the platform (two sets of decisions), a setting for each of these. ClassSettings::max_attempts counts.

--- a/src/decide.h
+++ b/src/decide.h
@@ -58,6 +58,7 @@
   ReportSource reports = ReportSource::none;
   bool tells_taken = false;   // workers say at once that they have a job
   bool tells_start = false;   // workers say when a job starts
+  bool tells_slots = false;   // the list says what each worker holds at once, see WorkerInfo
   Micros progress_every = 0;  // and how far it is; 0: never
   Micros tick = 0;            // the least time between two events
   int max_attempts = 1;
@@ -89,7 +90,7 @@
   double size = 1;     // live weights: the nominal size divided by 1 + requests held a core
   Micros started = 0;  // time of the last start; 0: long ago
   Phase phase = Phase::serving;
-  double slots = 0;  // what it is known to hold at once; 0: not told
+  double slots = 0;  // what it is known to hold at once, never exceeded by own jobs; 0: not told
 };
 
 struct Start {
--- a/src/decide/choice.h
+++ b/src/decide/choice.h
@@ -14,22 +14,20 @@
     if (!usable(w) || !r.queue.names(w.info)) return false;
     // Unlike servers: a job that can still be in time doesn't go where it would end late.
     const auto end = now + static_cast<Micros>(r.work / speed(w) + usual_wait());
-    if (std::get<0>(r.place) < 2 && w.of->pace.time > 0 && end > r.due) return false;
-    return ends == 0 || end <= ends;
+    const bool may_be_late = w.info.slots > 0 || std::get<0>(r.place) > 1 || w.of->pace.time <= 0;
+    return (may_be_late || end <= r.due) && (ends == 0 || end <= ends);
   }
 
   bool may_take(Worker& w, const Request& r) { return fits(w, r) && within_cold_budget(w, r.work); }
 
-  // Guards against a fetch for each job: those about one thing begin at one place of the order common to all
-  // dispatchers, so that the same few workers keep what they need.
+  // Guards against a fetch for each job: those about one thing begin at one place of an order common to all.
   Worker* keeper(const Request& r) {
     for (std::uint64_t n = 0; r.key && n < kRanked; ++n) {
-      Worker* const at = at_place(r.queue.kind, key_hash(key_hash(*r.key) + n));
-      if (at == nullptr) break;
-      Worker& w = *at;
-      if (w.part < 1 && random.uniform() >= w.part) continue;
-      if (w.big_lane != (r.big && split) || w.late_starts > 0 || !may_take(w, r)) continue;
-      if (room(w) >= kKeeperRoom * r.slots) return &w;
+      Worker* const w = at_place(r.queue.kind, key_hash(key_hash(*r.key) + n));
+      if (w == nullptr) break;
+      if (w->part < 1 && random.uniform() >= w->part) continue;
+      if (w->big_lane != (r.big && split) || w->late_starts > 0 || !may_take(*w, r)) continue;
+      if (room(*w) >= (w->info.slots > 0 ? 1 : kKeeperRoom) * r.slots) return w;
     }
     return nullptr;
   }
@@ -50,8 +48,8 @@
       if (chosen != nullptr && seen >= known) break;
       ++seen;
       const double free = room(*w);
-      if (free < (near ? 1 : kRoom) * r.slots) continue;
-      if (idle_only && others(*w) >= kRoom) continue;
+      if (free < (near || w->info.slots > 0 ? 1 : kRoom) * r.slots || (idle_only && others(*w) >= kRoom))
+        continue;
       const double chance = set.weights == Weights::live ? random.uniform() : 1;
       const std::tuple by{free * speed(*w) * chance, -w->out, random.uniform()};
       if (chosen != nullptr && by <= top) continue;
@@ -81,7 +79,9 @@
     Worker* own = keeper(r);
     if (own == nullptr) own = best(r, r.big, false);
     if (own != nullptr || (!r.big && big_waits())) return own;
-    return best(r, !r.big, r.big && split);
+    // Of told slots the last idle small-lane worker is kept, unless big jobs pile up: one could hold one job.
+    const bool last = r.big && split && set.tells_slots && idle_small(r.queue) < 2;
+    return last && turn(r) <= run_time(r) ? nullptr : best(r, !r.big, r.big && split);
   }
 };
 
--- a/src/decide/dispatcher.cpp
+++ b/src/decide/dispatcher.cpp
@@ -1,5 +1,4 @@
-// One dispatcher's events, each handed to what decides; the interface is src/decide.h, the reasons are in
-// docs/design.md. Each file of this folder stands on the one that it includes.
+// One dispatcher's events; the interface is src/decide.h. Each file here stands on the one that it includes.
 #include "decide/trials.h"
 
 namespace woadridge {
@@ -21,7 +20,6 @@
     take(e.settings);
     for (auto& [id, w] : workers) show(w);
     set_lanes();
-    stuck = false;
     if (set.list_mode == ListMode::asked && mode != ListMode::asked) ask_later(set.tick);
   }
 
@@ -31,8 +29,7 @@
     alarm(now + static_cast<Micros>(static_cast<double>(wanted) * (1 + random.uniform())), Why::ask);
   }
 
-  // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter. Guards
-  // against calls that were waited for in vain: discovery works them off all the same, before those to come.
+  // A list that can't be had stays in force. All ask at once after an outage: back off, with jitter.
   void on(const WorkerList& news) {
     if (news.kind == ListKind::failed)
       return ask_later(std::max(kAskAgain, now - asked) << std::min(failed_asks++, kDoublings));
@@ -67,11 +64,8 @@
     auto [r, a] = attempt(e.id, e.attempt);
     if (a == nullptr || a->seen_start) return;
     Worker& w = *a->worker;
-    a->start(now);
-    count_start(w, *r, *a);
-    see_own_start(kShareSpan);
+    count_start(w, *r, *a, kShareSpan);
     if (trial.id != r->id) see_wait(*a);
-    see_delay(w.info.zone, now - a->sent);
     see_slots(w, w.running);
     if (!a->late_start) see_start(w, false);
     const double rest = w.of->slots - w.running;
@@ -79,8 +73,7 @@
     // One that could not be reached and now runs a job has restarted, whatever the late list says: cold.
     if (w.unreachable) w.new_process(now);
     show(w);
-    // A start note may come in the batch of the final answer.
-    if (!r->answered) go_on_trial(*r, e.attempt, w);
+    if (!r->answered) go_on_trial(*r, e.attempt, w);  // a start note may come with the final answer
     else if (trial.id == r->id && e.attempt == trial.waiting) end_trial(*r, kStops);
   }
 
@@ -94,14 +87,13 @@
   void on(const Arrival& a) {
     Request& r = accept(a);
     if (a.hint) learn_hint(*a.hint);
-    if (mean_run <= 0) mean_run = mean_work = r.work;
+    if (mean_run <= 0 || (set.tells_slots && a.hint && hints.kept.size() == 1)) mean_run = mean_work = r.work;
     mean_work += (r.work - mean_work) / kKindMemory;
     r.big = threshold > 0 && a.hint && static_cast<double>(*a.hint) > threshold;
-    const Micros gone_by = asked_before(a);
+    const Micros gone_by = set.tells_slots ? 0 : asked_before(a);
     r.due = now - gone_by + r.of->aim + static_cast<Micros>(r.of->stretch * r.work);
     r.over_share = !a.repeated && gone_by < set.connect_timeout && beyond_share(a.tenant);
-    // Guards against clients that wait for a descriptor till their time is up: they are told at once.
-    if (a.crowded) return give_up(r);
+    if (a.crowded) return give_up(r);  // rather than let it wait for a descriptor till its time is up
     alarm(r.deadline - 2 * set.tick, Why::deadline, r.id);
     hold(r);
   }
@@ -128,8 +120,7 @@
   void on(const Ending& e) {
     ends = e.at;
     if (now < ends) return;
-    for (const auto id : open_ids())
-      if (!requests.at(id).answered) give_up(requests.at(id));
+    for (Request* r : unanswered()) give_up(*r);
   }
 
   void on(const TimerFired& e) {
@@ -159,9 +150,8 @@
   if (std::holds_alternative<Stop>(event)) state_.reset();
   if (!state_) return;
   State& s = *state_;
-  s.now = now;
-  s.out = &out;
-  for (Worker* w : s.rested()) s.show(*w);
+  s.begin(now, &out);
+  for (Worker* w : s.rested()) s.show(*w), s.stuck &= w->info.slots <= 0;
   std::visit([&s](const auto& e) { s.on(e); }, event);
   if (!std::holds_alternative<Arrival>(event) && !std::holds_alternative<TimerFired>(event)) s.stuck = false;
   if (!s.stuck) s.pump();  // most arrivals and timers open no room
--- a/src/decide/learning.h
+++ b/src/decide/learning.h
@@ -19,8 +19,7 @@
     return (w.pace.work + lean * w.of->pace.speed(kUnknownSpeed)) / (w.pace.time + lean);
   }
 
-  // What was done since the last news; hints are noisy, so sums that fade are compared. Not of repeats, which
-  // may go on from saved work, nor of jobs without a hint, which are taken for average ones.
+  // Of what was done since the last news: sums, as hints are noisy. Repeats may go on from saved work.
   void learn_pace(Worker& w, const Request& r, Attempt& a, double done) {
     if (r.hinted && a.seen_start && r.attempts.size() == 1 && done > a.done) {
       const double work = r.work * (done - a.done);
@@ -28,13 +27,12 @@
       w.pace.add(work, time, kJobMemory * mean_run);
       w.of->pace.add(work, time, kKindMemory * mean_run);
     }
-    a.done = std::max(a.done, done);
-    a.heard = now;
+    a.hear(now, done);
   }
 
   // Slots in use by others: as seen last, fading as their jobs end to what is usual in the zone.
   double others(const Worker& w) const {
-    return usual_others(w) + w.others.left(now, kOthersJobs * mean_run);
+    return w.info.slots > 0 ? 0 : usual_others(w) + w.others.left(now, kOthersJobs * mean_run);
   }
 
   double usual_others(const Worker& w) const {  // cold ones are no busier than they are let
@@ -57,7 +55,7 @@
   void see_wait(const Attempt& a) { wait.blend(now, static_cast<double>(now - a.sent), kJobMemory); }
 
   Micros run_time(const Request& r) const {  // on a worker of the best kind and after the usual wait there
-    const double best = best_pace();
+    const double best = best_pace(0);
     return best > 0 ? static_cast<Micros>(r.work / best + kWaitMargin * usual_wait()) : 0;
   }
 };
--- a/src/decide/refusal.h
+++ b/src/decide/refusal.h
@@ -5,24 +5,23 @@
 
 namespace woadridge {
 
-constexpr double kShareFirst = 0.7;  // of a tenant's part goes first: what a short fleet can serve
-constexpr double kShort = 0.75;      // share of late starts in every zone at which the fleet is short
+// A tenant's part that goes first; the share of late starts in every zone at which the fleet is short.
+constexpr double kShareFirst = 0.7, kShort = 0.75;
 
 struct Refusal : Lanes {
   // Guards against one tenant crowding out the rest: its part is what the others send of their quotas.
   bool beyond_share(const std::string& name) {
-    const auto found = tenants.find(name);
-    if (found == tenants.end() || found->second.quota <= 0 || set.over_share_worth >= 1) return false;
-    Tenant& own = found->second;
-    see_tenant(own, kShareSpan);
-    const auto [quotas, sent] = all_tenants_but(own);
-    const double part = quotas > 0 ? own.quota * sent / quotas : own.recent.value;
-    return random.uniform() * own.recent.value > kShareFirst * part + 1;
+    Tenant* own = with_quota(name);
+    if (own == nullptr || set.over_share_worth >= 1) return false;
+    see_tenant(*own, kShareSpan);
+    const auto [quotas, sent] = all_tenants_but(*own);
+    const double part = quotas > 0 ? own->quota * sent / quotas : own->recent.value;
+    return random.uniform() * own->recent.value > kShareFirst * part + 1;
   }
 
   // Rule 2: who may be sent again. Keyed repeats only while the group still remembers the earliest.
   bool may_resend(const Request& r) const {
-    if (static_cast<int>(r.attempts.size()) >= r.most_attempts) return false;
+    if (r.attempts_left() <= 0) return false;
     const Attempt* first = r.may_have_run();
     if (first == nullptr || r.of->effect == Effect::safe) return true;
     return r.of->effect == Effect::keyed && now <= first->sent + r.of->memory - set.tick;
@@ -43,8 +42,29 @@
     erase_ended(r);
   }
 
+  // Time until a job's turn by the work ahead and the slots told; 0: no slots, as during a first cold start.
+  Micros turn(const Request& r) const {
+    const bool both = !split || (!r.big && !big_waits());
+    const double slots = lane_slots[r.big] + (both ? lane_slots[!r.big] : 0);
+    const double time =
+        work_ahead(r, r.big && !split) / best_pace(1) + mean_run / 2;  // half of a run is left
+    return slots > 0 ? static_cast<Micros>(time / slots) : 0;
+  }
+
+  // Would end after its client has given up: told at once. Late for its aim alone is still worth something.
+  bool in_vain(const Request& r) const {
+    const Micros until = may_refuse(r) && queues.contains(r.queue) ? turn(r) : 0;
+    return until > 0 && now + until + run_time(r) > r.deadline;
+  }
+
+  Micros hold_off(const Request& r) const {
+    const Micros until = turn(r);
+    if (!set.may_hold_off || ends > 0) return 0;
+    return until > 0 ? std::min(until, set.max_hold_off) : set.max_hold_off;
+  }
+
   void give_up(Request& r) {
-    if (may_refuse(r)) out->push_back(Refuse{r.id, set.may_hold_off && ends == 0 ? set.max_hold_off : 0});
+    if (may_refuse(r)) out->push_back(Refuse{r.id, hold_off(r)});
     else out->push_back(Fail{r.id});
     answered(r);
   }
@@ -59,8 +79,7 @@
     return first;
   }
 
-  // Here, or at a worker. Guards against hundreds of dispatchers that keep all queues full of late jobs; what
-  // a late answer still earns is given up only while nearly all starts are late.
+  // Guards against queues full of late jobs; what those still earn is given up while all starts are late.
   bool others_wait(const Request& r) const {
     if (queues.contains(r.queue)) return true;
     const auto is_short = [&](auto& zone) { return zone.second.left(now, kJobMemory * mean_run) > kShort; };
@@ -71,13 +90,12 @@
     const Attempt* first = tie_to_group(r);
     const bool is_late = now + run_time(r) > r.due;
     if (ends > 0 && now + run_time(r) > ends && may_refuse(r)) return give_up(r);
-    // Too late for its full worth while others wait: refused at once, so that the client knows.
-    if (is_late && may_refuse(r) && others_wait(r)) return give_up(r);
     r.place = {is_late ? 2 : r.over_share ? 1 : 0, r.big ? static_cast<Micros>(r.work) : 0, r.arrival};
+    if (set.tells_slots ? in_vain(r) : is_late && may_refuse(r) && others_wait(r)) return give_up(r);
     stuck &= queues.contains(r.queue);
     enqueue(r);
     if (first != nullptr) alarm(first->sent + r.of->memory, Why::hopeless, r.id);
-    if (!is_late) alarm(r.due - run_time(r) + set.tick, Why::hopeless, r.id);
+    if (!is_late) alarm(r.due - run_time(r) + std::max<Micros>(set.tick, 1), Why::hopeless, r.id);
   }
 
   // Rule 1: what is held is answered just before the time is up, what is out just after it at the latest.
--- a/src/decide/retries.h
+++ b/src/decide/retries.h
@@ -5,28 +5,23 @@
 
 namespace woadridge {
 
-constexpr int kDoublings = 4;    // of a judged worker's rest, or of waits for a list
-constexpr int kMissedNotes = 2;  // times the progress notes' span in which a running job is heard of
+// How long a full answer counts where slots are told; between two tries to place what is held, at least.
+constexpr Micros kOverlap = 200'000, kLeastPause = 2'000;
+// Doublings of a judged worker's rest or a wait for a list; spans of progress notes until one is missed.
+constexpr int kDoublings = 4, kMissedNotes = 2;
 
 struct Retries : Choice {
-  Micros start_limit(const Worker& w) {  // a free slot shows by then: handshakes take up to three round trips
-    return 4 * least_delay(w.info.zone, set.connect_timeout / 4) + 2 * set.tick;
-  }
+  Micros start_limit(const Worker& w) { return 4 * least_delay(w, set.connect_timeout / 4) + 2 * set.tick; }
 
   void send(Request& r, Worker& w) {
     dequeue(r);
-    ++sends;
-    if (trial.id == r.id) ++trial_copies;
     if (w.of->slots - others(w) - w.out < kRoom) w.of->next_trial = now + kSlotTrial;
     const auto number = static_cast<int>(r.attempts.size());
     Attempt& a = r.attempts.emplace_back(Attempt{&w, w.info.zone, w.info.group, now});
-    if (set.tells_start) {
-      alarm(now + start_limit(w), Why::overdue, r.id, number);
-      const Micros last_start = r.due - static_cast<Micros>(r.work / speed(w));
-      if (last_start > now) alarm(last_start, Why::vain, r.id, number);
-    } else {
-      a.start(now);
-    }
+    const Micros last_start = r.due - static_cast<Micros>(r.work / speed(w));
+    if (!set.tells_start) a.start(now);
+    if (set.tells_start) alarm(now + start_limit(w), Why::overdue, r.id, number);
+    if (set.tells_start && last_start > now) alarm(last_start, Why::vain, r.id, number);
     if (set.tells_taken) alarm(now + set.connect_timeout, Why::silent, r.id, number);
     count_send(w, r, a.seen_start);
     mean_out += (slots_out - mean_out) / kKindMemory;
@@ -45,15 +40,16 @@
         else if (std::get<0>(r.place) > 1 && r.of->late_worth <= 0) give_up(r);
         else break;
       }
+      small_waited |= !key.big && queues.contains(key) && !big_waits();
+      while (queues.contains(key) && in_vain(last_of(key))) give_up(last_of(key));
     }
     stuck = true;
     if (queues.empty() || std::exchange(pump_due, true)) return;
-    alarm(now + std::max<Micros>(static_cast<Micros>(mean_run / 8), 4 * set.tick), Why::pump);
+    alarm(now + std::max({static_cast<Micros>(mean_run / 8), 4 * set.tick, kLeastPause}), Why::pump);
   }
 
   void judge(Worker& w) {
-    w.judged_until = now + (kFirstTrial << std::min(w.strikes++, kDoublings));
-    resting.emplace(w.judged_until, w.info.id);
+    rest(w, w.judged_until = now + (kFirstTrial << std::min(w.strikes++, kDoublings)));
     show(w);
     set_lanes();
   }
@@ -72,6 +68,10 @@
       if (w.cap > 0) w.cap += 1;
       learn_pace(w, r, a, 1);
       if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
+    } else if (result == Result::full && w.info.slots > 0) {
+      w.cap = w.out;
+      rest(w, w.cap_ends = now + kOverlap);
+      alarm(w.cap_ends, Why::rested);
     } else if (result == Result::full) {
       see_full(w);
       see_start(w, true);
--- a/src/decide/room.h
+++ b/src/decide/room.h
@@ -18,8 +18,14 @@
 struct Rooms : Learning {
   bool usable(const Worker& w) const { return w.is_offered() && now >= w.judged_until; }
 
+  // Own slots that may be out where slots are told. It answers full while someone overlaps, for a moment.
+  double limit(const Worker& w) const {
+    return now < w.cap_ends ? std::min(w.cap, w.info.slots) : w.info.slots;
+  }
+
   // Free room in slots. A job sent and not started tells of a full worker long before "full" does.
   double room(const Worker& w) const {
+    if (w.info.slots > 0) return limit(w) - w.out;
     if ((w.cap > 0 && w.out >= w.cap) || w.late_starts > 0) return 0;
     const double free = w.of->slots - others(w) - w.out;
     const bool one_more = w.out >= w.of->slots && w.waiting == 0 && now >= w.of->next_trial;
@@ -29,11 +35,12 @@
   // By own jobs alone: walks pass the shut ones and look at the full ones last.
   index::Room room_at(const Worker& w) const {
     using index::Room;
+    if (w.info.slots > 0) return w.out < limit(w) ? Room::open : Room::shut;
     if ((w.cap > 0 && w.out >= w.cap) || w.late_starts > 0) return Room::shut;
     return w.out < w.of->slots ? Room::open : w.waiting == 0 ? Room::full : Room::shut;
   }
 
-  void show(Worker& w) { shelves.stand(w, {usable(w), room_at(w), w.out <= 0, w.big_lane}); }
+  void show(Worker& w) { stand(w, {usable(w), room_at(w), w.out <= 0, w.big_lane}, limit(w)); }
 
   // One more slot than its kind had shown: full ones of the kind are no longer.
   void see_slots(const Worker& w, double slots) {
@@ -54,8 +61,7 @@
     w.part = std::clamp(w.part * std::clamp(step, kPartStep, 2 - kPartStep), kLeastPart, 1.0);
   }
 
-  // This dispatcher's part of what a cold worker may be sent in one span, in work. Judged by the warm of
-  // its kind and the slowest warming that the settings allow. After a restart alone all is taken as spent.
+  // This dispatcher's part of what a cold worker may be sent in a span. After a restart alone all is spent.
   bool within_cold_budget(Worker& w, double work) {
     if (!cold(w) || set.overload_span <= 0) return true;
     if (!beside.began && now - born < set.overload_span && w.info.started < born) return false;
@@ -63,21 +69,17 @@
     const double used = pieces() * (cold_load(work) + w.sent_since(now - set.overload_span));
     const double age = static_cast<double>(std::max<Micros>(0, now - set.overload_span - w.info.started));
     const double part = set.cold_from + (1 - set.cold_from) * age / static_cast<double>(set.warm_after);
-    const double capacity = w.of->slots * speed(w) * part;
-    const double budget =
-        kColdMargin * set.overload_factor * capacity * static_cast<double>(set.overload_span);
-    return used <= budget * cold_part(w);
+    const double capacity = w.of->slots * speed(w) * part, span = static_cast<double>(set.overload_span);
+    return used <= kColdMargin * set.overload_factor * capacity * span * cold_part(w);
   }
 
-  // Guards against two processes of one dispatcher that each send what it may alone: a half each, until a
-  // span after the other let go. One that begins beside another has a third: that may just have sent all.
+  // Two processes of one dispatcher: a half each, until a span after one let go; who begins has a third.
   double pieces() const {
     if (beside.began && now - born < set.overload_span) return 3;
     return beside.shares || now - shared < set.overload_span ? 2 : 1;
   }
 
-  // Guards against cold workers left empty: 1/100 of a budget holds no job. In a large fleet own draws, the
-  // same throughout, grant much to few, more likely to those with much of the traffic.
+  // 1/100 of a budget holds no job: in a large fleet own draws grant much to few, by their traffic.
   double cold_part(const Worker& w) const {
     const double even = 1.0 / std::max(1, set.fleet_size);
     if (set.fleet_size <= kEvenParts) return even;
--- a/src/decide/trials.h
+++ b/src/decide/trials.h
@@ -5,23 +5,20 @@
 
 namespace woadridge {
 
-constexpr int kStops = 2, kRunsOn = -1;      // evidence that a cancel stops work: chance shows it rarely, ...
-constexpr int kBelieved = 6, kGivenUp = -3;  // ... a queue hides it often; believed, and no more trials made
-constexpr int kSay = 4;                      // the most that one dispatcher's word adds to it
+// Evidence that a cancel stops work, when it is believed or given up, and the most that one's word adds.
+constexpr int kStops = 2, kRunsOn = -1, kBelieved = 6, kGivenUp = -3, kSay = 4;
 // Copies for such trials, and of what is sent beyond them: where no job ever waits none concludes.
 constexpr double kTrialsFree = 20, kTrialsPart = 0.02;
 
 struct Trials : Retries {
   void end_trial(const Request& r, int verdict) {
     evidence += verdict;
-    // Guards against trials that take a day where each dispatcher has few jobs: verdicts are shared.
-    if (verdict != 0) tell(std::clamp(evidence, -kSay, kSay));
+    if (verdict != 0) tell(std::clamp(evidence, -kSay, kSay));  // alone with few jobs it would take a day
     trial = {};
     call_off_all_but(r, r.answered ? -1 : 0);
   }
 
-  // Does a cancel drop waiting work? Copies of a small safe job go to one worker until one waits; that and
-  // another are called off, and one more sent. If it starts as the job ends, nobody stood before it.
+  // Copies go to one worker until one waits; two are called off, one more sent: does it start in their place?
   bool fit_for_trial(const Request& r, const Worker& w) {
     if (!set.may_copy || !set.may_cancel || proof() >= kBelieved || proof() <= kGivenUp) return false;
     if (r.of->effect != Effect::safe || r.attempts.size() != 1 || cold(w)) return false;
@@ -29,9 +26,8 @@
     return r.work <= mean_run && r.work > 4 * static_cast<double>(start_limit(w));
   }
 
-  bool may_line_up(const Request& r, Worker& w, std::size_t more) {
-    return r.attempts.size() + more <= static_cast<std::size_t>(r.most_attempts) && may_resend(r) &&
-           may_take(w, r);
+  bool may_line_up(const Request& r, Worker& w, int more) {
+    return r.attempts_left() >= more && may_resend(r) && may_take(w, r);
   }
 
   void go_on_trial(Request& r, int started, Worker& w) {
@@ -62,8 +58,7 @@
   void overdue(Request& r, Attempt& a, int number) {
     if (a.seen_start || a.late_start) return;
     Worker& w = *a.worker;
-    a.late_start = true;
-    count_late(w, 1);
+    count_late(w, a);
     show(w);
     see_others(w, std::max(0.0, w.of->slots - w.running));
     if (trial.id == r.id) return line_up(r, w, number);
--- a/src/records.h
+++ b/src/records.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <compare>
 #include <cstdlib>
@@ -95,6 +96,9 @@
   int late_starts = 0;           // own attempts that should have started by now
   Fading others;                 // slots in use by others beyond the usual
   double cap = 0;                // own slots allowed since it answered full; 0: no cap
+  Micros cap_ends = 0;           // where its slots are told: then alone, and 0 is a cap too
+  double counted = 0;            // of these slots in its lane's sum, and ...
+  bool counted_big = false;      // ... which lane
   double part = 1;               // of the jobs whose place it is that go there: it is overfull else
   Pace pace;                     // of own finished jobs, for its speed
   Micros judged_until = 0;       // no work before
@@ -120,6 +124,7 @@
     pace = {};
     others = {};
     cap = 0;
+    cap_ends = 0;
     judged_until = 0;
     strikes = 0;
     suspect = false;
@@ -151,6 +156,10 @@
     started = at;
     heard = at;
   }
+  void hear(Micros at, double share) {
+    done = std::max(done, share);
+    heard = at;
+  }
   void end(Result result) {
     out = false;
     never_ran = result == Result::full || result == Result::no_connection || result == Result::never_sent;
@@ -193,6 +202,7 @@
   QueuePlace place;
   std::vector<Attempt> attempts;
 
+  int attempts_left() const { return most_attempts - static_cast<int>(attempts.size()); }
   bool any_out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](auto& a) { return a.out; });
   }
@@ -245,7 +255,7 @@
   int waiting = -1;  // the attempt that waits for the slot of the one called off
 };
 
-enum class Why { none, deadline, silent, overdue, vain, hopeless, verdict, pump, ask };
+enum class Why { none, deadline, silent, overdue, vain, hopeless, verdict, pump, ask, rested };
 struct Alarm {
   Why why = Why::none;
   RequestId id = 0;
@@ -306,7 +316,10 @@
   bool asking = false;
   bool pump_due = false;
   bool split = false;
-  bool stuck = false;  // no room when last tried
+  bool stuck = false;                                // no room when last tried
+  bool small_waited = false;                         // while no big one did, since d was computed
+  std::array<double, 2> lane_slots{};                // told ones of usable workers: small lane, big lane
+  std::array<std::array<Micros, 3>, 2> held_work{};  // by lane and rank
 
   std::shared_ptr<const ClassSettings> class_named(const std::string& name) const {
     static const auto unknown = std::make_shared<const ClassSettings>();
@@ -340,7 +353,7 @@
     r.deadline = now + a.time_left;
     r.slots = std::max(a.slots, 1.0);
     r.of = class_named(a.class_name);
-    r.most_attempts = set.max_attempts;
+    r.most_attempts = r.of->max_attempts > 0 ? r.of->max_attempts : set.max_attempts;
     r.arrival = ++arrivals;
     r.key = a.key;
     r.hinted = a.hint.has_value();
@@ -353,6 +366,12 @@
     longest = std::max(longest, a.time_left);
     return longest - a.time_left;
   }
+  std::vector<Request*> unanswered() {  // in order of their ids
+    std::vector<Request*> all;
+    for (const auto id : open_ids())
+      if (!requests.at(id).answered) all.push_back(&requests.at(id));
+    return all;
+  }
   Request* find(RequestId id) {
     const auto found = requests.find(id);
     return found == requests.end() ? nullptr : &found->second;
@@ -372,6 +391,10 @@
     while (!alarms.empty() && alarms.front().why == Why::none) alarms.pop_front();
     return alarm;
   }
+  Tenant* with_quota(const std::string& name) {
+    const auto found = tenants.find(name);
+    return found == tenants.end() || found->second.quota <= 0 ? nullptr : &found->second;
+  }
   std::pair<double, double> all_tenants_but(const Tenant& one) const {  // quotas, and what was sent lately
     return {tenants_quota - one.quota, std::max(0.0, tenants_recent.value - one.recent.value)};
   }
@@ -507,6 +530,10 @@
     if (queue.group >= 0) return shelves.group(queue.group);
     return shelves.find(queue.kind, near ? set.zone : queue.zone);
   }
+  std::size_t idle_small(const QueueKey& queue) const {  // workers of the small lane with no own job
+    const index::Home* home = home_for(queue, false);
+    return home == nullptr ? 0 : home->idle[0].size();
+  }
   Worker* at_place(const std::string& kind, std::uint64_t hash) const {  // in the order common to all
     const auto row = shelves.rows().find(kind);
     if (row == shelves.rows().end() || row->second.workers.empty()) return nullptr;
@@ -514,6 +541,7 @@
     if (spot == row->second.workers.end()) spot = row->second.workers.begin();
     return static_cast<Worker*>(spot->owner);
   }
+  Request& last_of(const QueueKey& key) { return requests.at(queues.at(key).rbegin()->second); }
   std::vector<QueueKey> queue_keys() const {
     std::vector<QueueKey> keys;
     for (const auto& [key, queue] : queues) keys.push_back(key);
@@ -525,16 +553,16 @@
     const int word = static_cast<signed char>(e.bytes[0]);
     if (std::abs(word) <= most) told_sum += word - std::exchange(told[e.peer], word);
   }
-  double best_pace() const {  // of all kinds; 0: none has been seen to finish a job
+  double best_pace(double unknown) const {  // of all kinds that have been seen to finish a job
     double best = 0;
     for (const auto& [key, kind] : kinds) best = std::max(best, kind.pace.speed(0));
-    return best;
+    return best > 0 ? best : unknown;
   }
   bool big_waits() const {
     return std::any_of(queues.begin(), queues.end(), [](auto& q) { return q.first.big; });
   }
-  Micros least_delay(const std::string& zone, Micros unknown) const {
-    const auto least = start_delay.find(zone);
+  Micros least_delay(const Worker& w, Micros unknown) const {
+    const auto least = start_delay.find(w.info.zone);
     return least == start_delay.end() ? unknown : least->second;
   }
   void forget(Worker& w) {
@@ -544,6 +572,7 @@
   void enqueue(Request& r) {
     queues[r.queue][r.place] = r.id;
     r.held = true;
+    held_work[r.big][static_cast<std::size_t>(std::get<0>(r.place))] += static_cast<Micros>(r.work);
   }
   void dequeue(Request& r) {
     if (!r.held) return;
@@ -552,14 +581,40 @@
     if (queue.empty()) queues.erase(r.queue);
     r.held = false;
     stuck = false;
+    held_work[r.big][static_cast<std::size_t>(std::get<0>(r.place))] -= static_cast<Micros>(r.work);
+  }
+  // Held work that comes before it: of its lane, and of the other one too if that goes first.
+  double work_ahead(const Request& r, bool other_too) const {
+    Micros all = r.held ? -static_cast<Micros>(r.work) : 0;
+    for (std::size_t rank = 0; rank < 3; ++rank)
+      all += (static_cast<int>(rank) <= std::get<0>(r.place) ? held_work[r.big][rank] : 0) +
+             (other_too ? held_work[!r.big][rank] : 0);
+    return static_cast<double>(all);
+  }
+  void stand(Worker& w, const index::Stand& as, double slots) {
+    shelves.stand(w, as);
+    lane_slots[w.counted_big] -= w.counted;
+    w.counted = as.usable ? slots : 0;
+    w.counted_big = as.big;
+    lane_slots[w.counted_big] += w.counted;
+  }
+  void rest(const Worker& w, Micros until) { resting.emplace(until, w.info.id); }
+  void begin(Micros at, std::vector<Action>* actions) {
+    now = at;
+    out = actions;
   }
   void count_send(Worker& w, const Request& r, bool started) {
+    ++sends;
+    if (trial.id == r.id) ++trial_copies;
     ++w.attempts;
     (started ? w.running : w.waiting) += r.slots;
     w.out += r.slots;
     slots_out += r.slots;
   }
-  void count_start(Worker& w, const Request& r, const Attempt& a) {
+  void count_start(Worker& w, const Request& r, Attempt& a, double span) {
+    a.start(now);
+    see_own_start(span);
+    see_delay(w.info.zone, now - a.sent);
     w.waiting -= r.slots;
     w.running += r.slots;
     w.prompt = !a.late_start;
@@ -570,6 +625,10 @@
     w.late_starts += more;
     late_workers += (w.late_starts > 0 ? 1 : 0) - (before ? 1 : 0);
   }
+  void count_late(Worker& w, Attempt& a) {
+    a.late_start = true;
+    count_late(w, 1);
+  }
   void count_end(Worker& w, const Request& r, const Attempt& a) {
     --w.attempts;
     (a.seen_start ? w.running : w.waiting) -= r.slots;
