Lab: the whole platform on one machine by one command, with stand-ins for provider, functions, operator

The lab's fleet server was ruled out as a stand-in: it speaks the dispatcher's older protocol and has neither starts nor machines.

`woadridge-lab platform up` writes each node's settings, starts the processes on loopback addresses of their own, sends a configuration until it is acknowledged and ends all of them by id; `--check` sends requests through a cold start and warm ones, a POST that has to run once, one without a route and half a configuration.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -16,6 +16,7 @@
 #include "lab/chaos/rig.h"
 #include "lab/chaos/simulated.h"
 #include "lab/page.h"
+#include "lab/platform/command.h"
 #include "lab/sockets.h"
 #include "lab/sweep.h"
 
@@ -460,6 +461,8 @@
   auto* list_cmd = app.add_subcommand("list", "the scenarios that come with it");
   list_cmd->add_option("--scenarios", folder)->capture_default_str();
 
+  platform::Command platform_cmd(app);
+
   try {
     app.parse(argc, argv);
     if (*check_cmd) {
@@ -476,6 +479,7 @@
     }
     if (*chaos_cmd) return chaos(chaos_call);
     if (*compare_cmd) return compare_files(file, other);
+    if (platform_cmd.called()) return platform_cmd.run(stop_asked);
     return list(folder);
   } catch (const CLI::ParseError& fault) {
     return app.exit(fault) == 0 ? 0 : kUsage;
--- /dev/null
+++ b/lab/platform/command.cpp
@@ -0,0 +1,53 @@
+#include "lab/platform/command.h"
+
+#include <algorithm>
+
+namespace woadridge::lab::platform {
+
+Command::Command(CLI::App& app) {
+  // The programs stand one folder above the lab's.
+  programs_ = std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path().string();
+  auto& layout = call_.layout;
+  platform_ =
+      app.add_subcommand("platform", "the platform's programs, with stand-ins for what is round them");
+  platform_->require_subcommand(1);
+  auto* up = platform_->add_subcommand(
+      "up", "start all of it on loopback, with a configuration in force; Ctrl-C ends it");
+  up->add_option("--core", layout.cores, "core machines")->check(CLI::Range(1, 9))->capture_default_str();
+  up->add_option("--edges", layout.edges)->check(CLI::Range(1, Layout::kMostNodes))->capture_default_str();
+  up->add_option("--workers", call_.workers, "machines for instances")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  up->add_option("--worker-mb", call_.memory_mb, "memory of each")->capture_default_str();
+  up->add_option("--work-ms", call_.work_ms, "how long a request runs")
+      ->check(CLI::Range(0.001, 3.6e6))
+      ->capture_default_str();
+  up->add_option("--configuration", call_.configuration, "what the operator sends")->capture_default_str();
+  up->add_option(
+      "--dir", folder_,
+      "settings, logs and disks; disks that are there are used again (default: a folder of its own)");
+  up->add_option("--net", layout.net, "the first three parts of all addresses: two trials need two")
+      ->check(CLI::Validator(
+          [](const std::string& text) {
+            const bool good = text.starts_with("127.") && std::count(text.begin(), text.end(), '.') == 2;
+            return good ? std::string() : "expected 127.x.y, not " + text;
+          },
+          "127.x.y"))
+      ->capture_default_str();
+  up->add_option("--port", layout.port, "the first port")
+      ->check(CLI::Range(1024, 32'768 - Layout::kPorts))  // below those that the system deals out by itself
+      ->capture_default_str();
+  up->add_option("--programs", programs_, "the folder of lathe, jig and anvil")->capture_default_str();
+  up->add_flag("--debug", debug_, "the programs log all that they have");
+  up->add_flag("--check", call_.check,
+               "send a few requests, tell how long they took, and end; status 1: a fault");
+}
+
+int Command::run(const std::atomic<bool>& stop) {
+  call_.nodes.folder = folder_;
+  call_.nodes.programs = programs_;
+  if (debug_) call_.nodes.log_level = "debug";
+  return run_trial(call_, stop);
+}
+
+}  // namespace woadridge::lab::platform
--- /dev/null
+++ b/lab/platform/command.h
@@ -0,0 +1,24 @@
+// The lab's command `platform`.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+
+#include "lab/platform/trial.h"
+
+namespace woadridge::lab::platform {
+
+class Command {
+ public:
+  explicit Command(CLI::App& app);
+  bool called() const { return platform_->parsed(); }
+  int run(const std::atomic<bool>& stop);
+
+ private:
+  CLI::App* platform_;
+  TrialCall call_;
+  std::string folder_, programs_;
+  bool debug_ = false;
+};
+
+}  // namespace woadridge::lab::platform
--- /dev/null
+++ b/lab/platform/instances.h
@@ -0,0 +1,52 @@
+// Instances of functions, each behind a listener of its own: what they do with requests, and what they
+// remember of them for those who check.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "lab/platform/door.h"
+#include "lab/platform/ledger.h"
+
+namespace woadridge::lab::platform {
+
+constexpr const char* kAttemptId = "X-Woadridge-Attempt-Id";
+constexpr const char* kSeal = "X-Woadridge-Instance-Seal";
+constexpr const char* kNotExecuted = "X-Woadridge-Not-Executed";
+constexpr const char* kTargetInstance = "X-Woadridge-Target-Instance";
+constexpr const char* kDeadlineMs = "X-Woadridge-Deadline-Ms";
+
+// Belongs to one instance, one attempt and one body.
+std::string seal_of(const std::string& instance, const std::string& attempt, const std::string& body);
+
+struct Deeds {                      // of all instances
+  std::map<std::string, int> runs;  // by attempt
+  int full = 0;                     // turned away: all slots were in use
+  int misdirected = 0;              // turned away: meant for another instance
+};
+
+class Instances {
+ public:
+  using OnFreed = std::function<void(const std::string& id)>;
+
+  Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed);
+  ~Instances();
+
+  void begin(const Life& life, std::size_t most_conns);  // listens once it has started
+  void stop(const std::string& id);                      // listens no longer; ends its work, then it is freed
+  void drop();                                           // all of them, at once
+  const Deeds& deeds() const { return deeds_; }
+
+ private:
+  class Instance;
+
+  net::Strand strand_;
+  const net::Clock& clock_;
+  Micros work_;
+  OnFreed on_freed_;
+  std::map<std::string, std::shared_ptr<Instance>> all_;  // by id
+  Deeds deeds_;
+};
+
+}  // namespace woadridge::lab::platform
--- /dev/null
+++ b/lab/platform/nodes.h
@@ -0,0 +1,72 @@
+// The platform's own processes on one machine: each node with a loopback address of its own, a settings file
+// as on real machines, and a log.
+#pragma once
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/platform/ask.h"
+#include "lab/process.h"
+
+namespace woadridge::lab::platform {
+
+struct Layout {                 // where everything stands
+  std::string net = "127.0.1";  // the first three parts of all addresses
+  std::uint16_t port = 7600;    // the first of those in use; the same at all nodes
+  int cores = 3, edges = 2;
+
+  static constexpr int kMostNodes = 90;  // of each kind
+  static constexpr int kPorts = 100;     // counted from the first
+
+  std::string core_ip(int n) const { return net + "." + std::to_string(1 + n); }
+  std::string edge_ip(int n) const { return net + "." + std::to_string(101 + n); }
+  std::string provider_ip() const { return net + ".200"; }
+  std::uint16_t at(int offset) const { return static_cast<std::uint16_t>(port + offset); }
+  // The platform's own: at(0) to at(15).
+  Endpoint control(int core) const { return endpoint_at(core_ip(core) + ":" + std::to_string(at(20))); }
+  Endpoint front(int edge) const { return endpoint_at(edge_ip(edge) + ":" + std::to_string(at(21))); }
+  Endpoint readiness(int edge) const { return endpoint_at(edge_ip(edge) + ":" + std::to_string(at(22))); }
+  Endpoint provider() const { return endpoint_at(provider_ip() + ":" + std::to_string(at(23))); }
+  std::vector<std::string> instance_addresses() const;  // several thousand
+  std::vector<Endpoint> controls() const;
+  std::vector<std::string> zones() const { return {"hall-a", "hall-b", "hall-c"}; }
+  std::string zone(int n) const { return zones()[static_cast<std::size_t>(n) % zones().size()]; }
+};
+
+struct NodeKnobs {
+  std::filesystem::path folder;    // settings, logs, disks
+  std::filesystem::path programs;  // where lathe, jig and anvil are
+  std::string log_level = "info";
+  std::uint32_t lag_ms = 300, drain_ms = 3000, grace_s = 6;
+  double rate_per_s = 50, duty_per_s = 100;
+};
+
+class Nodes {
+ public:
+  Nodes(Layout layout, NodeKnobs knobs);  // throws std::runtime_error where a program is missing
+
+  void start();  // writes the settings files too
+  // Those that have ended by themselves since the last look, and how; they are started again.
+  std::vector<std::string> look_after();
+  // SIGTERM to all, and SIGKILL to those that are still there when the grace is over. What went wrong.
+  std::vector<std::string> end();
+
+ private:
+  struct Node {
+    std::string name, program, settings;
+    std::unique_ptr<Process> process;
+    Moment again{};  // when it is started again; none: it runs
+  };
+  void add(const std::string& program, const std::string& node, const std::string& settings);
+  void launch(Node& node);
+  std::string settings_of(const std::string& name, const std::string& role, bool core, int number) const;
+
+  Layout layout_;
+  NodeKnobs knobs_;
+  bool bootstrap_ = true;  // no core machine holds anything yet
+  std::vector<Node> nodes_;
+};
+
+}  // namespace woadridge::lab::platform
--- /dev/null
+++ b/lab/platform/stage.cpp
@@ -0,0 +1,30 @@
+#include "lab/platform/stage.h"
+
+#include <boost/asio/post.hpp>
+
+namespace woadridge::lab::platform {
+
+Stage::Stage(Endpoint endpoint, ProviderKnobs knobs, const nlohmann::json& configuration)
+    : provider_(strand_, std::move(endpoint), std::move(knobs)) {
+  provider_.functions(configuration);
+  provider_.open();
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+Stage::~Stage() {
+  boost::asio::post(strand_, [this] {
+    provider_.close();
+    io_.stop();
+  });
+  thread_.join();
+}
+
+Stage::Look Stage::look() {
+  std::promise<Look> told;
+  boost::asio::post(strand_, [&] {
+    told.set_value({provider_.tally(), provider_.deeds(), provider_.alive()});
+  });
+  return told.get_future().get();
+}
+
+}  // namespace woadridge::lab::platform
--- /dev/null
+++ b/lab/platform/stage.h
@@ -0,0 +1,30 @@
+// The stand-ins on a thread of their own, and what others may ask of them.
+#pragma once
+
+#include <future>
+#include <thread>
+
+#include "lab/platform/provider.h"
+
+namespace woadridge::lab::platform {
+
+class Stage {
+ public:
+  Stage(Endpoint endpoint, ProviderKnobs knobs, const nlohmann::json& configuration);
+  ~Stage();
+
+  struct Look {
+    Tally tally;
+    Deeds deeds;
+    std::size_t alive = 0;
+  };
+  Look look();
+
+ private:
+  boost::asio::io_context io_{1};
+  net::Strand strand_{io_.get_executor()};
+  Provider provider_;
+  std::thread thread_;
+};
+
+}  // namespace woadridge::lab::platform
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -56,8 +56,7 @@
 
 bool Process::running() {
   if (pid_ <= 0) return false;
-  int status = 0;
-  if (::waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  if (::waitpid(pid_, &status_, WNOHANG) != pid_) return true;
   pid_ = 0;
   return false;
 }
@@ -69,7 +68,7 @@
 void Process::end(int number) {
   if (!running()) return;
   ::kill(pid_, number);
-  ::waitpid(pid_, nullptr, 0);
+  ::waitpid(pid_, &status_, 0);
   pid_ = 0;
 }
 
--- a/lab/process.h
+++ b/lab/process.h
@@ -22,6 +22,7 @@
   bool start(const std::string& program, const std::string& config, const std::string& log,
              const std::vector<std::string>& words = {}, int listener = -1);  // handed over as descriptor 3
   bool running();
+  int status() const { return status_; }  // of its last end, as wait(2) tells it
   void signal(int number);
   void end(int number);
   // CPU since the last look in microseconds, resident memory in MiB, descriptors.
@@ -30,6 +31,7 @@
 
  private:
   pid_t pid_ = 0;
+  int status_ = 0;
   double ticks_ = 0;
 };
 
