--- a/src/jig/agent.cpp
+++ b/src/jig/agent.cpp
@@ -110,7 +110,7 @@
   asked_at_ = now();
   answer_by_ = asked_at_ + seek_.patience();
   up_->say(AgentSays{Ask{settings_.node_name, settings_.zone, proxy_address_, board_.term, board_.version,
-                         board_.plan.version}});
+                         board_.plan.version, settings_.calls_per_s()}});
   wait(answer_timer_, seek_.patience(), [this] { unanswered(); });
 }
 
--- a/src/lathe/call.h
+++ b/src/lathe/call.h
@@ -37,6 +37,7 @@
   Micros came = 0;
   Micros deadline = 0;  // the answer must be on its way by then
   int passed_on = 0;    // times that it was sent to a peer
+  int hops = 0;         // proxies that it has passed before
   std::weak_ptr<Asker> asker;
 };
 
--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -15,32 +15,88 @@
 constexpr Micros kReportHeld = 80'000;  // calls are waiting: the holder weighs a start
 constexpr Micros kHopAhead = 3'000;  // the home answers so long before the first proxy gives up
 constexpr int kMostPassed = 3;       // times that one call is sent to a peer
+constexpr int kMostPassedAgain = 1;  // by one that it was sent to: boards differ for a moment
+constexpr Micros kSettle = 300'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
 
 }  // namespace
 
 Desk::Desk(net::Strand strand, toolbox::Settings settings)
     : settings_(std::move(settings)), space_(settings_.memory_mb), alarms_(strand, clock_),
-      errands_(strand, clock_, alarms_, space_) {}
+      errands_(strand, clock_, alarms_, space_), random_(static_cast<unsigned>(fnv1a(settings_.node_name))) {}
 
-const toolbox::Peer* Desk::home(const std::string& service) {
-  const auto& peers = board_.peers;
-  auto found = homes_.find(service);
-  if (found == homes_.end()) found = homes_.emplace(service, toolbox::homes(service, peers)).first;
+bool Desk::is_down(const std::string& peer) {
+  const auto down = down_until_.find(peer);
+  return down != down_until_.end() && down->second > now();
+}
+
+const toolbox::Peer* Desk::by_draw(const std::string& service) {
+  auto found = draws_.find(service);
+  if (found == draws_.end()) found = draws_.emplace(service, toolbox::homes(service, board_.peers)).first;
   for (const auto at : found->second) {
-    const auto& peer = peers[at];
+    const auto& peer = board_.peers[at];
     if (peer.name == settings_.node_name) {
       if (leaving_) continue;
       return nullptr;
     }
-    const auto down = down_until_.find(peer.name);
-    if (down == down_until_.end() || down->second <= now()) return &peer;
+    if (!is_down(peer.name)) return &peer;
   }
   return nullptr;  // nobody else is there
 }
 
+const toolbox::Peer* Desk::owner(const toolbox::Instance& instance) {
+  if (instance.home.empty()) return by_draw(instance.service);
+  if (instance.home == settings_.node_name && !leaving_) return nullptr;
+  const auto at = peer_at_.find(instance.home);
+  if (at == peer_at_.end() || is_down(instance.home)) return by_draw(instance.service);
+  return &board_.peers[at->second];
+}
+
+std::vector<Desk::Group> Desk::groups(const std::string& service) {
+  std::vector<Group> all;
+  const auto found = instances_.find(service);
+  if (found == instances_.end()) return all;
+  for (const auto& [id, instance] : found->second) {
+    if (instance.condition == toolbox::Condition::draining) continue;
+    const auto* peer = owner(instance);
+    auto group = std::find_if(all.begin(), all.end(), [&](const Group& g) { return g.peer == peer; });
+    if (group == all.end()) group = all.insert(all.end(), Group{peer, 0, 0});
+    (instance.condition == toolbox::Condition::ready ? group->up : group->starting) += instance.capacity;
+  }
+  return all;
+}
+
+// One home is the rule. A function with more has them for its traffic: each gets its part by its slots, this
+// proxy's own first.
+const toolbox::Peer* Desk::home(const std::string& service) {
+  const auto all = groups(service);
+  if (all.empty()) return by_draw(service);
+  double up = 0;
+  for (const auto& group : all) {
+    up += group.up;
+    if (group.peer == nullptr && (group.up > 0 || all.size() == 1)) return nullptr;
+  }
+  if (all.size() == 1) return all.front().peer;
+  const auto slots = [&](const Group& g) { return up > 0 ? g.up : g.starting; };
+  double sum = 0;
+  for (const auto& group : all) sum += slots(group);
+  double at = std::uniform_real_distribution<double>(0, sum)(random_);
+  for (const auto& group : all) {
+    at -= slots(group);
+    if (at <= 0 && slots(group) > 0) return group.peer;
+  }
+  return all.back().peer;
+}
+
 bool Desk::is_home(const std::string& service) {
-  return home(service) == nullptr;
+  const auto all = groups(service);
+  if (all.empty()) return by_draw(service) == nullptr;
+  return std::any_of(all.begin(), all.end(), [](const Group& g) { return g.peer == nullptr; });
+}
+
+Micros Desk::usable_from(const toolbox::Instance& instance) {
+  const auto found = settles_.find(instance.id);
+  return found == settles_.end() ? 0 : found->second;
 }
 
 Station& Desk::station(const std::string& service) {
@@ -52,17 +108,37 @@
   return *found;
 }
 
+// Guards against two homes that send to one instance at once: what an earlier one, which is still there, has
+// out at it ends first.
 void Desk::show(const std::string& service) {
-  std::vector<toolbox::Instance> all;
-  for (const auto& instance : board_.instances)
-    if (instance.service == service) all.push_back(instance);
-  stations_.at(service)->instances(std::move(all));
+  std::vector<toolbox::Instance> mine;
+  for (const auto& [id, instance] : instances_[service]) {
+    const auto* peer = owner(instance);
+    const auto& name = peer == nullptr ? settings_.node_name : peer->name;
+    auto& before = sender_[id];
+    const bool moved = !before.empty() && before != name;
+    if (moved && peer == nullptr && peer_at_.contains(before) && !is_down(before) &&
+        instance.condition == toolbox::Condition::ready)
+      settles_[id] = now() + kSettle;
+    before = name;
+    if (peer == nullptr) mine.push_back(instance);
+  }
+  stations_.at(service)->instances(std::move(mine));
+}
+
+void Desk::owners_changed() {
+  for (auto& [service, at] : stations_) {
+    show(service);
+    if (is_home(service)) continue;
+    for (auto& call : at->give_away()) take(std::move(call));
+  }
 }
 
 void Desk::take(CallRef call) {
-  if (!call->from_peer) {
-    if (const toolbox::Peer* peer = home(call->service); peer != nullptr && call->passed_on < kMostPassed)
-      return pass_on(std::move(call), *peer);
+  // From a peer: this is its home, or was a moment ago.
+  const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
+  if (call->passed_on < most && (!call->from_peer || !is_home(call->service))) {
+    if (const toolbox::Peer* peer = home(call->service); peer != nullptr) return pass_on(std::move(call), *peer);
   }
   station(call->service).take(std::move(call));
 }
@@ -83,7 +159,7 @@
   net::write_header(head, kDeadline, std::to_string(left / 1000));
   std::string via = call->service + ";" + call->route + ";" + (call->repeatable ? "r" : "m") + ";" +
                     std::to_string(call->max_tries) + ";" + std::to_string(call->aim / 1000) + ";" +
-                    std::to_string(call->longest / 1000);
+                    std::to_string(call->longest / 1000) + ";" + std::to_string(call->hops + 1);
   net::write_header(head, kVia, via);
   if (!call->body.empty() || call->method == "POST" || call->method == "PUT" || call->method == "PATCH")
     net::write_header(head, "Content-Length", std::to_string(call->body.size()));
@@ -104,7 +180,13 @@
   using How = ErrandEnd::How;
   if (end.how == How::answered)
     return answer(call, {end.status, std::move(end.head), std::move(end.body), end.retry_after_s, false});
-  down_until_[peer] = now() + (end.how == How::no_connection ? kPeerDown : kPeerShaken);
+  const Micros down_for = end.how == How::no_connection ? kPeerDown : kPeerShaken;
+  const bool news = !is_down(peer);
+  down_until_[peer] = now() + down_for;
+  if (news) {
+    owners_changed();
+    alarms_.at(now() + down_for + 1000, [this] { owners_changed(); });
+  }
   const bool ran = end.how == How::broken;
   if (ran && !call->repeatable) return answer(call, {502, {}, {}, 0, true});
   if (ran && call->passed_on >= static_cast<int>(std::max<std::uint32_t>(1, call->max_tries)))
@@ -114,36 +196,47 @@
 
 void Desk::told(const toolbox::News& news) {
   const auto peers_before = board_.peers;
-  const toolbox::Version before = board_.plan.version;
+  const auto plan_before = board_.plan.version;
+  const bool taken = board_.apply(news);
+  if (board_.plan.version != plan_before) router_.take(board_.plan);
+  if (!taken) return;
   std::set<std::string> touched;
-  std::map<std::string, std::string> service_of;
-  for (const auto& instance : board_.instances) service_of[instance.id] = instance.service;
-  board_.apply(news);
-  if (board_.plan.version != before) router_.take(board_.plan);
-  if (board_.peers != peers_before) {
-    homes_.clear();
-    down_until_.clear();
-  }
+  const auto forget = [&](const std::string& id) {
+    const auto found = service_of_.find(id);
+    if (found == service_of_.end()) return;
+    touched.insert(found->second);
+    instances_[found->second].erase(id);
+    service_of_.erase(found);
+    for (auto* ids : {&sender_}) ids->erase(id);
+    settles_.erase(id);
+    refusals_.erase(id);
+  };
   if (news.whole) {
-    for (const auto& [id, service] : service_of) touched.insert(service);
-    for (const auto& instance : board_.instances) touched.insert(instance.service);
+    std::vector<std::string> gone;
+    for (const auto& [id, service] : service_of_)
+      if (!board_.instances.contains(id)) gone.push_back(id);
+    for (const auto& id : gone) forget(id);
   }
-  for (const auto& instance : news.changed) touched.insert(instance.service);
-  for (const auto& id : news.gone) {
-    refusals_.erase(id);
-    if (const auto found = service_of.find(id); found != service_of.end()) touched.insert(found->second);
+  for (const auto& id : news.gone) forget(id);
+  for (const auto& instance : news.changed) {
+    touched.insert(instance.service);
+    service_of_[instance.id] = instance.service;
+    instances_[instance.service][instance.id] = instance;
+  }
+  const bool peers_changed = board_.peers != peers_before;
+  if (peers_changed) {
+    draws_.clear();
+    down_until_.clear();
+    peer_at_.clear();
+    for (std::size_t at = 0; at < board_.peers.size(); ++at) peer_at_[board_.peers[at].name] = at;
+    for (const auto& [service, all] : instances_)
+      if (!all.empty() && (stations_.contains(service) || is_home(service))) touched.insert(service);
   }
   for (const auto& service : touched) {
     if (stations_.contains(service)) show(service);
     else if (is_home(service)) station(service);
   }
-  if (board_.peers == peers_before) return;
-  for (const auto& instance : board_.instances)  // the new home looks for those that are starting
-    if (is_home(instance.service)) show(station(instance.service).service());
-  for (auto& [service, at] : stations_) {
-    if (is_home(service)) continue;
-    for (auto& call : at->give_away()) take(std::move(call));
-  }
+  if (peers_changed) owners_changed();
 }
 
 void Desk::has_news(Station& station) {
--- a/src/lathe/desk.h
+++ b/src/lathe/desk.h
@@ -3,8 +3,10 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 #include "lathe/router.h"
 #include "lathe/station.h"
@@ -38,12 +40,22 @@
 
   // For the stations.
   bool is_home(const std::string& service);
+  Micros usable_from(const toolbox::Instance& instance);  // one that another home has sent to settles first
   void has_news(Station& station);
   void reached(const std::string& instance);
   void refused_connection(const std::string& instance);
 
  private:
-  const toolbox::Peer* home(const std::string& service);  // null: this proxy
+  struct Group {  // the instances of a function that one proxy is home to
+    const toolbox::Peer* peer = nullptr;  // null: this proxy
+    double up = 0, starting = 0;          // slots
+  };
+  const toolbox::Peer* home(const std::string& service);     // null: this proxy
+  const toolbox::Peer* by_draw(const std::string& service);  // null: this proxy
+  const toolbox::Peer* owner(const toolbox::Instance& instance);
+  std::vector<Group> groups(const std::string& service);
+  bool is_down(const std::string& peer);
+  void owners_changed();
   Station& station(const std::string& service);
   void pass_on(CallRef call, const toolbox::Peer& peer);
   void passed(CallRef call, std::string peer, ErrandEnd end);
@@ -59,7 +71,13 @@
   Router router_;
   toolbox::Board board_;
   std::map<std::string, std::unique_ptr<Station>> stations_;
-  std::map<std::string, std::vector<std::size_t>> homes_;  // as they come; forgotten when the peers change
+  std::unordered_map<std::string, std::map<std::string, toolbox::Instance>> instances_;  // the board's by service
+  std::unordered_map<std::string, std::string> service_of_;                              // by id
+  std::unordered_map<std::string, std::string> sender_;  // the last home of each, as seen here
+  std::unordered_map<std::string, Micros> settles_;      // by id: until when
+  std::unordered_map<std::string, std::size_t> peer_at_;
+  std::map<std::string, std::vector<std::size_t>> draws_;  // as they come; forgotten when the peers change
+  std::minstd_rand random_;
   std::map<std::string, Micros> down_until_;               // peers that could not be reached
   std::map<std::string, int> refusals_;                    // connections that an instance has refused
   std::set<std::string> touched_;                          // stations with something to report
--- a/src/lathe/front.cpp
+++ b/src/lathe/front.cpp
@@ -24,6 +24,7 @@
                                       // close doesn't take the answer with it
 constexpr double kClientsPart = 0.6;  // of the descriptors; the rest is for instances and peers
 constexpr std::uint32_t kOwnDescriptors = 232;  // 200 are kept for files, the rest are listeners and the loop's
+constexpr int kPassedEnough = 100;  // the second proxy that a call is sent to keeps it
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);
 constexpr std::int64_t kLongestMs = 24 * 3600 * 1000;  // guards sums of times against nonsense
 
@@ -229,7 +230,7 @@
 
   int fill_from_peer(Call& call) {
     const auto via = split(reader_.header(kVia), ';');
-    if (via.size() != 6 || !reader_.target().starts_with('/')) return 400;
+    if (via.size() != 7 || !reader_.target().starts_with('/')) return 400;
     fill_common(call);
     call.from_peer = true;
     call.service = via[0];
@@ -238,6 +239,8 @@
     call.max_tries = static_cast<std::uint32_t>(whole(via[3], 1));
     call.aim = whole(via[4], 1000) * 1000;
     call.longest = whole(via[5], 1000) * 1000;
+    call.hops = static_cast<int>(whole(via[6], 1));
+    call.passed_on = call.hops > 1 ? kPassedEnough : 0;
     call.deadline = call.came + whole(reader_.header(kDeadline), 1000) * 1000;
     return 0;
   }
--- a/src/lathe/station.cpp
+++ b/src/lathe/station.cpp
@@ -9,6 +9,7 @@
 namespace woadridge::lathe {
 namespace {
 
+constexpr Micros kTick = 2'000;   // what is held is answered two of these before its time is up
 constexpr Micros kAhead = 6'000;  // an answer leaves so long before the client gives up: a busy core's delay
 constexpr Micros kStopAhead = 4'000;  // an instance stops so long before that, and says so itself
 constexpr double kEstimateWeight = 0.1;  // of a new answer's time in the estimate of its like
@@ -29,6 +30,9 @@
   settings_.seed = seed;
   settings_.list_mode = ListMode::pushed;
   settings_.weights = Weights::none;
+  settings_.tells_slots = true;
+  settings_.tick = kTick;
+  settings_.zone = desk_.settings().zone;
   settings_.may_hold_off = true;
   settings_.max_hold_off = kMostHoldOff;
   settings_.connect_timeout = kPollConnect;
@@ -147,7 +151,9 @@
 void Station::carry_out(const Refuse& action) {
   auto& open = open_.at(action.id);
   ++demand_.refused;
-  answered(open, {503, {}, {}, std::max(0.05, static_cast<double>(action.hold_off) / 1e6), true});
+  const bool late = open.out > 0 && open.call && desk_.now() >= open.call->deadline - kAhead - 2 * kTick;
+  if (late) answered(open, {504, {}, {}, 0, true});  // it runs: no promise
+  else answered(open, {503, {}, {}, std::max(0.05, static_cast<double>(action.hold_off) / 1e6), true});
   forget_if_over(action.id);
 }
 
@@ -252,6 +258,8 @@
     const bool fresh = known.told.id.empty();
     known.told = std::move(told);
     if (auto place = toolbox::read_place(known.told.address)) known.place = place.value();
+    known.usable_from = desk_.usable_from(known.told);
+    if (known.usable_from > desk_.now()) desk_.alarms().at(known.usable_from, [this] { tell_list(); });
     if (fresh) known.up_at = desk_.now() + static_cast<Micros>(known.told.up_in_ms) * 1000;
     if (!known.up() && known.told.condition == toolbox::Condition::starting && !known.polling) poll(known.told.id);
   }
@@ -270,6 +278,7 @@
   for (const auto& [id, known] : known_) {
     const bool draining = known.told.condition == toolbox::Condition::draining;
     if (!draining && !known.up()) continue;
+    if (known.usable_from > desk_.now()) continue;
     WorkerInfo info;
     info.id = id;
     info.zone = known.told.zone;
--- a/src/lathe/station.h
+++ b/src/lathe/station.h
@@ -51,6 +51,7 @@
     bool reached = false;  // it has taken a connection, whatever the board says
     bool polling = false;
     Micros up_at = 0;  // when a starting one is expected
+    Micros usable_from = 0;
     int tried = 0;
     bool up() const { return told.condition == toolbox::Condition::ready || reached; }
   };
--- a/src/toolbox/messages.cpp
+++ b/src/toolbox/messages.cpp
@@ -1,27 +1,18 @@
 #include "toolbox/messages.h"
 
-#include <algorithm>
-
 namespace woadridge::toolbox {
 
 // A plan never goes back: a late word of an older one changes nothing.
-void Board::apply(const News& news) {
+bool Board::apply(const News& news) {
   if (news.plan_told && news.plan.version > plan.version) plan = news.plan;
-  if (news.term < term || (news.term != term && !news.whole)) return;
+  if (news.term < term || (news.term != term && !news.whole)) return false;
   term = news.term;
   version = news.board;
   if (news.peers_told) peers = news.peers;
   if (news.whole) instances.clear();
-  const auto before = [](const Instance& a, const std::string& id) { return a.id < id; };
-  for (const auto& told : news.changed) {
-    auto at = std::lower_bound(instances.begin(), instances.end(), told.id, before);
-    if (at != instances.end() && at->id == told.id) *at = told;
-    else instances.insert(at, told);
-  }
-  for (const auto& id : news.gone) {
-    auto at = std::lower_bound(instances.begin(), instances.end(), id, before);
-    if (at != instances.end() && at->id == id) instances.erase(at);
-  }
+  for (const auto& told : news.changed) instances[told.id] = told;
+  for (const auto& id : news.gone) instances.erase(id);
+  return true;
 }
 
 News Board::whole() const {
@@ -30,7 +21,7 @@
   news.board = version;
   news.whole = news.peers_told = true;
   news.peers = peers;
-  news.changed = instances;
+  for (const auto& [id, instance] : instances) news.changed.push_back(instance);
   news.plan_told = plan.version > 0;
   news.plan = plan;
   return news;
--- a/src/toolbox/messages.h
+++ b/src/toolbox/messages.h
@@ -6,6 +6,7 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -64,10 +65,11 @@
   std::uint32_t capacity = 1;
   Condition condition = Condition::starting;
   std::uint32_t up_in_ms = 0;  // starting: the mean time that it has left, when this was told
+  std::string home;            // the proxy that sends to it; empty: the one by draw (homes.h)
   bool operator==(const Instance&) const = default;
   template <class A>
   void serialize(A& a) {
-    a(id, service, address, zone, machine, capacity, condition, up_in_ms);
+    a(id, service, address, zone, machine, capacity, condition, up_in_ms, home);
   }
 };
 
@@ -126,9 +128,10 @@
   std::string name, zone, proxy;  // the node, and where its proxy takes what peers send on; empty: it's down
   std::uint64_t term = 0;
   Version board = 0, plan = 0;  // that are held
+  std::uint32_t calls_per_s = 0;  // that its machine bears as the home of one function; 0: not told
   template <class A>
   void serialize(A& a) {
-    a(name, zone, proxy, term, board, plan);
+    a(name, zone, proxy, term, board, plan, calls_per_s);
   }
 };
 
@@ -148,12 +151,12 @@
 // What an agent and a proxy hold of the platform, kept by News.
 class Board {
  public:
-  void apply(const News& news);
+  bool apply(const News& news);  // false: no word on peers and instances was taken
   News whole() const;  // as told to one that holds nothing
   std::uint64_t term = 0;
   Version version = 0;
   std::vector<Peer> peers;
-  std::vector<Instance> instances;  // by id
+  std::map<std::string, Instance> instances;  // by id
   Plan plan;
 };
 
--- a/src/toolbox/settings.cpp
+++ b/src/toolbox/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
 #include <cstdlib>
@@ -120,6 +121,16 @@
   return place;
 }
 
+std::uint32_t Settings::calls_per_s() const {
+  // A call passes a home's link once from its peer and once from the instance, each way, in some 1.5 kB with its
+  // heads; it takes some 0.3 ms of a core. A third of each is left to one function: the same machine has clients
+  // of its own, and bursts come.
+  constexpr double kShare = 1.0 / 3, kBytes = 1500, kSeconds = 0.3e-3;
+  const double by_link = kShare * link_mbps * 1e6 / 8 / kBytes;
+  const double by_core = kShare * cpu_fraction / kSeconds;
+  return static_cast<std::uint32_t>(std::clamp(std::min(by_link, by_core), 1.0, 1e6));
+}
+
 Result<Settings> read_settings(const std::string& text) {
   toml::table table;
   try {
--- a/src/toolbox/settings.h
+++ b/src/toolbox/settings.h
@@ -42,6 +42,9 @@
   std::vector<std::string> duties;
   std::uint32_t max_lag_ms = 1000;
 
+  // What this machine bears as the home of one function, beside what else it does.
+  std::uint32_t calls_per_s() const;
+
   // The platform's own ports, the same on all machines of a day.
   Place core_link(const std::string& at) const { return {at, first_port}; }  // agents and core to core
   Place peer_link() const { return {ip, static_cast<std::uint16_t>(first_port + 1)}; }  // proxy to proxy
--- a/tests/platform/jig/board_test.cpp
+++ b/tests/platform/jig/board_test.cpp
@@ -85,8 +85,7 @@
     CHECK_TRUE(board.peers == last.peers);
     CHECK_TRUE(board.plan == last.plan);
     LONGS_EQUAL(last.instances.size(), board.instances.size());
-    std::size_t at = 0;
-    for (const auto& [id, one] : last.instances) CHECK_TRUE(board.instances[at++] == one);
+    for (const auto& [id, one] : last.instances) CHECK_TRUE(board.instances.at(id) == one);
   }
 
   const Plan& plan() const { return states_.back().plan; }
--- a/tests/platform/lathe/front_test.cpp
+++ b/tests/platform/lathe/front_test.cpp
@@ -117,7 +117,7 @@
     desk->told(news);
   }
   toolbox::Instance at(const Played& played, const char* id) {
-    return {id, "fn", played.address(), "a", "m1", 1, toolbox::Condition::ready, 0};
+    return {id, "fn", played.address(), "a", "m1", 1, toolbox::Condition::ready, 0, ""};
   }
   std::string ask(const std::string& what, const std::string& id = "77") {
     const std::string text = what + " HTTP/1.1\r\nHost: h.example\r\nX-Woadridge-Attempt-Id: " + id +
@@ -216,7 +216,7 @@
   peer.answers = {kGood};
   plan_and({}, {{"other", "a", peer.address()}});
   STRCMP_CONTAINS("X-Woadridge-Instance-Seal: s.1", ask("GET /r/x").c_str());
-  STRCMP_CONTAINS("X-Woadridge-Via: fn;read;r;2;400;4000", peer.asked[0].c_str());
+  STRCMP_CONTAINS("X-Woadridge-Via: fn;read;r;2;400;4000;1", peer.asked[0].c_str());
 }
 
 TEST(Front, AHomeThatRefusesConnectionsIsPassedOver) {
