Lab: the check of the platform kills a core machine and brings a new route into force

The check went through a first configuration and starts only; a change and the loss of the machine that holds the duty were tried by hand. A longer wait before the change was ruled out: the check waits for events, each with a bound.

Ctrl-C ends the wait for an answer too.

--- a/lab/platform/ask.cpp
+++ b/lab/platform/ask.cpp
@@ -109,34 +109,34 @@
   return status != 0 && status < 500 && status != 307 && status != 408 && status != 429;
 }
 
-Sent until_clear(const std::vector<Endpoint>& core, const Question& question, Millis limit) {
-  const Moment began = std::chrono::steady_clock::now();
-  Sent sent;
-  for (Millis pause = kFirstPause;; pause = std::min(2 * pause, kLongestPause)) {
-    const auto at = static_cast<std::size_t>(sent.tries++) % core.size();
-    auto reply = follow(core[at], question, kSilence);
-    sent.status = reply.status;
-    sent.body = std::move(reply.body);
-    const auto gone = std::chrono::steady_clock::now() - began;
-    sent.took = std::chrono::duration_cast<Millis>(gone);
-    if (clear(sent.status) || gone + pause >= limit) return sent;
-    std::this_thread::sleep_for(pause);
-  }
-}
-
 }  // namespace
 
 Reply ask(const Endpoint& to, const Question& question, Millis limit) {
   return Exchange(to, bytes_of(to, question)).run(limit);
 }
 
-Sent put_configuration(const std::vector<Endpoint>& core, const std::string& text, Millis limit) {
-  return until_clear(core, {"PUT", "/api/configuration", {}, {{"Content-Type", "application/json"}}, text},
+Sent Operator::put(const std::string& configuration, Millis limit) const {
+  return until_clear({"PUT", "/api/configuration", {}, {{"Content-Type", "application/json"}}, configuration},
                      limit);
 }
 
-Sent get_configuration(const std::vector<Endpoint>& core, Millis limit) {
-  return until_clear(core, {"GET", "/api/configuration", {}, {}, {}}, limit);
+Sent Operator::get(Millis limit) const {
+  return until_clear({"GET", "/api/configuration", {}, {}, {}}, limit);
+}
+
+Sent Operator::until_clear(const Question& question, Millis limit) const {
+  const Moment began = std::chrono::steady_clock::now();
+  Sent sent;
+  for (Millis pause = kFirstPause;; pause = std::min(2 * pause, kLongestPause)) {
+    const auto at = static_cast<std::size_t>(sent.tries++) % core_.size();
+    auto reply = follow(core_[at], question, kSilence);
+    sent.status = reply.status;
+    sent.body = std::move(reply.body);
+    const auto gone = std::chrono::steady_clock::now() - began;
+    sent.took = std::chrono::duration_cast<Millis>(gone);
+    if (clear(sent.status) || gone + pause >= limit || stop_) return sent;
+    std::this_thread::sleep_for(pause);
+  }
 }
 
 }  // namespace woadridge::lab::platform
--- a/lab/platform/ask.h
+++ b/lab/platform/ask.h
@@ -2,6 +2,7 @@
 // for.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -37,7 +38,17 @@
 };
 
 // As an operator does: at the core machines in turn, again after a silence or a 5xx, until a clear answer.
-Sent put_configuration(const std::vector<Endpoint>& core, const std::string& text, Millis limit);
-Sent get_configuration(const std::vector<Endpoint>& core, Millis limit);
+class Operator {
+ public:
+  Operator(std::vector<Endpoint> core, const std::atomic<bool>& stop) : core_(std::move(core)), stop_(stop) {}
+  Sent put(const std::string& configuration, Millis limit) const;
+  Sent get(Millis limit) const;
+
+ private:
+  Sent until_clear(const Question& question, Millis limit) const;
+
+  std::vector<Endpoint> core_;
+  const std::atomic<bool>& stop_;
+};
 
 }  // namespace woadridge::lab::platform
--- a/lab/platform/nodes.cpp
+++ b/lab/platform/nodes.cpp
@@ -110,6 +110,12 @@
   return ended;
 }
 
+void Nodes::kill(const std::string& program, int number) {
+  const std::string suffix = "-" + std::to_string(number + 1) + " " + program;
+  for (auto& node : nodes_)
+    if (node.name.ends_with(suffix)) node.process->signal(SIGKILL);
+}
+
 std::vector<std::string> Nodes::end() {
   const Moment limit = std::chrono::steady_clock::now() + std::chrono::seconds(knobs_.grace_s);
   for (auto& node : nodes_) node.process->signal(SIGTERM);
--- a/lab/platform/nodes.h
+++ b/lab/platform/nodes.h
@@ -50,6 +50,7 @@
   void start();  // writes the settings files too
   // Those that have ended by themselves since the last look, and how; they are started again.
   std::vector<std::string> look_after();
+  void kill(const std::string& program, int number);  // SIGKILL; it is started again like any other
   // SIGTERM to all, and SIGKILL to those that are still there when the grace is over. What went wrong.
   std::vector<std::string> end();
 
--- a/lab/platform/trial.cpp
+++ b/lab/platform/trial.cpp
@@ -76,6 +76,7 @@
         text_(read_file(call.configuration)),
         configuration_(Json::parse(text_)),
         routes_(routes_of(configuration_)),
+        operator_(call.layout.controls(), stop),
         stage_(call.layout.provider(), provider_knobs(call), configuration_),
         nodes_(call.layout, node_knobs(call, folder)),
         folder_(std::move(folder)) {}
@@ -120,13 +121,13 @@
   }
 
   bool configure() {
-    const auto sent = put_configuration(call_.layout.controls(), text_, kConfigured);
+    const auto sent = operator_.put(text_, kConfigured);
     if (sent.status != 200)
       return fault("the configuration was not acknowledged in " + std::to_string(sent.took.count()) +
                    " ms: status " + std::to_string(sent.status) + " " + sent.body);
     std::cout << "configuration acknowledged after " << sent.took.count() << " ms, " << sent.tries
               << (sent.tries == 1 ? " try\n" : " tries\n");
-    const auto held = get_configuration(call_.layout.controls(), kConfigured);
+    const auto held = operator_.get(kConfigured);
     const Json back = Json::parse(held.body, nullptr, false);
     if (held.status != 200 || back.is_discarded()) return fault("no configuration comes back");
     // On a disk of an earlier trial a later version may be in force.
@@ -241,10 +242,48 @@
     const auto nowhere = ask(call_.layout.front(0),
                              {"GET", "/nowhere/", "nobody.example", {{kAttemptId, "check-0"}}, {}}, kServed);
     if (nowhere.status != 404) return fault("a request without route got " + std::to_string(nowhere.status));
-    const auto cut = put_configuration(call_.layout.controls(), text_.substr(0, text_.size() / 2), kServed);
+    const auto cut = operator_.put(text_.substr(0, text_.size() / 2), kServed);
     if (cut.status < 400 || cut.status >= 500)
       return fault("half a configuration got " + std::to_string(cut.status));
-    return provider_is_content();
+    return check_change() && provider_is_content();
+  }
+
+  // One core machine is killed, where the others are a majority, and a new route comes into force.
+  bool check_change() {
+    if (call_.layout.cores >= 3) nodes_.kill("anvil", 0);
+    Json changed = configuration_;
+    const int version = changed.at("version").get<int>() + 1;
+    changed["version"] = version;
+    Json route = changed.at("routes").at(0);
+    const std::string prefix = "/added-" + std::to_string(version) + "/";
+    route["name"] = prefix;
+    route["path-prefix"] = prefix;
+    changed["routes"].push_back(route);
+    const auto sent = operator_.put(changed.dump(), kConfigured);
+    if (sent.status != 200)
+      return fault("the change was not acknowledged: status " + std::to_string(sent.status));
+    const Moment acknowledged = steady_clock::now();
+    const RouteLook added = routes_of(changed).back();
+    for (int edge = 0; edge < call_.layout.edges; ++edge) {
+      Call call;
+      const auto there = [&] { return (call = send(added, edge)).reply.status != 404; };
+      if (!wait_for(there, kReady, stop_) || call.reply.status != 200)
+        return fault("the new route at edge " + std::to_string(edge + 1) + ": status " +
+                     std::to_string(call.reply.status));
+    }
+    std::cout << (call_.layout.cores >= 3 ? "with a core machine killed, " : "")
+              << "a new route is acknowledged after " << sent.took.count() << " ms, served by all edges "
+              << ms_since(acknowledged) << " ms later\n"
+              << std::flush;
+    const auto held = operator_.get(kConfigured);
+    if (Json::parse(held.body, nullptr, false) != changed)
+      return fault("the change does not come back as sent");
+    const auto back = [&] {
+      const auto ended = nodes_.look_after();
+      return ended.empty() &&
+             ask(call_.layout.control(0), {"GET", "/api/status", {}, {}, {}}, Millis(500)).status == 200;
+    };
+    return wait_for(back, kReady, stop_) || fault("the killed core machine does not come back");
   }
 
   // Its first request waits for a start; those that follow don't, at whichever edge.
@@ -274,6 +313,7 @@
   std::string text_;
   Json configuration_;
   std::vector<RouteLook> routes_;
+  Operator operator_;
   Stage stage_;
   Nodes nodes_;
   fs::path folder_;
