--- a/src/anvil/board.cpp
+++ b/src/anvil/board.cpp
@@ -69,6 +69,24 @@
   return news;
 }
 
+toolbox::News Board::rebase(const std::vector<std::uint64_t>& sums) const {
+  std::vector<std::uint64_t> own(toolbox::kBuckets, 0);
+  for (const auto& [id, entry] : instances_) own[toolbox::bucket_of(id)] += toolbox::sum_of(entry.instance);
+  if (sums.size() != own.size()) return since(0, 0);
+  toolbox::News news;
+  news.term = term_;
+  news.board = version_;
+  news.peers_told = true;
+  news.peers = peers_;
+  for (std::size_t bucket = 0; bucket < own.size(); ++bucket)
+    if (own[bucket] != sums[bucket]) news.buckets.push_back(static_cast<std::uint8_t>(bucket));
+  if (news.buckets.empty()) news.buckets.push_back(0);  // one at least says that the terms were compared
+  for (const auto& [id, entry] : instances_)
+    if (std::find(news.buckets.begin(), news.buckets.end(), toolbox::bucket_of(id)) != news.buckets.end())
+      news.changed.push_back(entry.instance);
+  return news;
+}
+
 void Roll::begin(Micros now) {
   *this = Roll();
   began_ = newest_at_ = now;
--- a/src/anvil/board.h
+++ b/src/anvil/board.h
@@ -28,6 +28,8 @@
   }
   // The differences since then; all of it for another term, or a version before what is remembered.
   toolbox::News since(std::uint64_t term, toolbox::Version version) const;
+  // For one that holds a board of another term: only the buckets whose sums differ.
+  toolbox::News rebase(const std::vector<std::uint64_t>& sums) const;
 
  private:
   struct Stamped {
--- a/src/anvil/foreman.cpp
+++ b/src/anvil/foreman.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double kMachinesShare = 0.3;      // of the lists' calls: machines change seldom
+constexpr std::size_t kPlansKept = 8;  // of these an agent that holds one is told the difference
 constexpr Micros kListAgain = 100'000;      // after no answer: the list is what all else hangs on
 constexpr std::uint32_t kMostSlowDown = 8;  // times: three seconds between two lists, drain-ms is seldom less
 
@@ -72,6 +73,8 @@
 void Foreman::plan(std::shared_ptr<const toolbox::Plan> plan) {
   if (!plan || (plan_ && plan->version <= plan_->version)) return;
   plan_ = std::move(plan);
+  plans_[plan_->version] = plan_;
+  if (plans_.size() > kPlansKept) plans_.erase(plans_.begin());
   bellows_->plan(now_us(), plan_);
   if (holds()) step();
 }
@@ -91,7 +94,10 @@
   bellows_->begin(began_, term);
   spread_.begin();
   for (const auto& agent : agents_)
-    if (agent->asked_at > 0) roll_.asked(began_, agent->ask);
+    if (agent->asked_at > 0) {
+      roll_.asked(began_, agent->ask);
+      for (const auto& id : agent->ask.owned) spread_.held(id, agent->ask.name);
+    }
   toolbox::info("duty begun", {{"term", std::to_string(term)}});
   pulse();
 }
@@ -171,6 +177,7 @@
   agent->asked_at = now;
   if (!holds()) return send_elsewhere(*agent);
   roll_.asked(now, agent->ask);
+  for (const auto& id : agent->ask.owned) spread_.held(id, agent->ask.name);
   tell(now);
 }
 
@@ -269,7 +276,8 @@
   if ((board_news || plan_news) && now - agent.told_at < ms(knobs_.pause_ms)) return step_soon();
   toolbox::News news;
   if (board_news) {
-    news = board_.since(agent.ask.term, agent.ask.board);
+    const bool other_term = agent.ask.term != board_.term() && !agent.ask.sums.empty();
+    news = other_term ? board_.rebase(agent.ask.sums) : board_.since(agent.ask.term, agent.ask.board);
     // Until all are back, whoever holds the peers of an earlier term goes by them.
     if (board_.peers().empty()) news.peers_told = false;
   } else {
@@ -277,8 +285,13 @@
     news.board = agent.ask.board;
   }
   if (plan_news) {
-    news.plan_told = true;
-    news.plan = *plan_;
+    const auto held = plans_.find(agent.ask.plan);
+    if (held != plans_.end()) {
+      toolbox::put_change(news, *held->second, *plan_);
+    } else {
+      news.plan_told = true;
+      news.plan = *plan_;
+    }
   }
   agent.asks = false;
   agent.told_at = now;
--- a/src/anvil/foreman.h
+++ b/src/anvil/foreman.h
@@ -3,6 +3,7 @@
 // machine; one that doesn't hold the duty sends agents elsewhere.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -87,6 +88,7 @@
   std::unique_ptr<bellows::Bellows> bellows_;
   bellows::Spread spread_;
   std::shared_ptr<const toolbox::Plan> plan_;
+  std::map<toolbox::Version, std::shared_ptr<const toolbox::Plan>> plans_;  // the newest, and some before it
   std::string holder_;
   std::uint64_t term_ = 0;  // 0: the duty isn't held
   Micros began_ = 0, list_at_ = 0, machines_at_ = 0, shown_at_ = 0;
--- a/src/bellows/spread.cpp
+++ b/src/bellows/spread.cpp
@@ -13,6 +13,7 @@
 constexpr double kDown = 0.15;               // and when it is lower: bursts come in flocks
 constexpr double kNarrow = 0.6;              // homes are given up when so much of their number would do ...
 constexpr Micros kNarrowAfter = 10'000'000;  // ... for so long
+constexpr int kMovesAtOnce = 2;  // of a function: each may meet what its last home still has out
 constexpr Micros kMoveEvery =
     400'000;  // of one function: what the last home has out at the instance ends first
 
@@ -21,6 +22,7 @@
 void Spread::begin() {
   functions_.clear();
   service_of_.clear();
+  held_.clear();
   peers_.clear();
 }
 
@@ -75,11 +77,22 @@
   }
   look(now, f);
   auto& home = f.homes[instance.id];
+  if (const auto before = held_.find(instance.id); before != held_.end()) {
+    home = instance.home = before->second;
+    held_.erase(before);
+    f.wanted = std::max(f.wanted, homes_of(instance.service));
+    f.wide_at = now;
+    return;
+  }
   const auto homes = wanted_homes(instance.service, f);
   if (homes.size() > 1) home = emptiest(f, homes);
   instance.home = home;
 }
 
+void Spread::held(const std::string& id, const std::string& home) {
+  if (!service_of_.contains(id)) held_[id] = home;
+}
+
 void Spread::gone(const std::string& id) {
   const auto found = service_of_.find(id);
   if (found == service_of_.end()) return;
@@ -110,15 +123,19 @@
     std::map<std::string, int> held;
     for (const auto& home : homes) held[home] = 0;
     for (const auto& [id, home] : f.homes) ++held[home];
-    const auto fullest =
-        std::max_element(held.begin(), held.end(), [](auto& a, auto& b) { return a.second < b.second; });
-    const auto least = emptiest(f, homes);
-    if (fullest->second - held[least] <= 1) continue;
-    const auto one =
-        std::find_if(f.homes.begin(), f.homes.end(), [&](auto& h) { return h.second == fullest->first; });
-    one->second = least;
-    f.moved_at = now;
-    moved.emplace_back(one->first, least);
+    for (int n = 0; n < kMovesAtOnce; ++n) {
+      const auto fullest =
+          std::max_element(held.begin(), held.end(), [](auto& a, auto& b) { return a.second < b.second; });
+      const auto least = emptiest(f, homes);
+      if (fullest->second - held[least] <= 1) break;
+      const auto one =
+          std::find_if(f.homes.begin(), f.homes.end(), [&](auto& h) { return h.second == fullest->first; });
+      one->second = least;
+      --fullest->second;
+      ++held[least];
+      f.moved_at = now;
+      moved.emplace_back(one->first, least);
+    }
   }
   return moved;
 }
--- a/src/jig/agent.cpp
+++ b/src/jig/agent.cpp
@@ -97,6 +97,11 @@
   at_ = *place;
   linked_ = false;
   dialed_at_ = now();
+  // A holder that has just begun is told again what its predecessor had decided.
+  owned_.clear();
+  for (const auto& [id, instance] : board_.instances)
+    if (instance.home == settings_.node_name) owned_.push_back(id);
+  sums_ = board_.term > 0 ? board_.sums() : std::vector<std::uint64_t>{};
   up_ = toolbox::Wire::to(strand_, at_, kConnect);
   up_->start([this](std::string_view bytes) { heard(bytes); },
              [this] { drop(seek_.failed(now(), Seek::Loss::ended), "ended"); });
@@ -110,7 +115,7 @@
   asked_at_ = now();
   answer_by_ = asked_at_ + seek_.patience();
   up_->say(AgentSays{Ask{settings_.node_name, settings_.zone, proxy_address_, board_.term, board_.version,
-                         board_.plan.version, settings_.calls_per_s()}});
+                         board_.plan.version, settings_.calls_per_s(), std::exchange(owned_, {}), std::exchange(sums_, {})}});
   wait(answer_timer_, seek_.patience(), [this] { unanswered(); });
 }
 
--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -16,6 +16,11 @@
 constexpr Micros kHopAhead = 3'000;  // the home answers so long before the first proxy gives up
 constexpr int kMostPassed = 3;       // times that one call is sent to a peer
 constexpr int kMostPassedAgain = 1;  // by one that it was sent to: boards differ for a moment
+constexpr double kWindowTime = 0.25;  // seconds of what a home bears that may be out there, of all proxies at first
+constexpr double kMostWindow = 64;    // calls of one function out at one home
+constexpr double kSlow = 2.5;         // times the usual answer's time: the home has more than it bears ...
+constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
+constexpr double kUsualWeight = 0.1;  // of a new answer's time in the usual one
 constexpr Micros kSettle = 300'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
 
@@ -77,7 +82,15 @@
     if (group.peer == nullptr && (group.up > 0 || all.size() == 1)) return nullptr;
   }
   if (all.size() == 1) return all.front().peer;
-  const auto slots = [&](const Group& g) { return up > 0 ? g.up : g.starting; };
+  const auto has_room = [&](const Group& g) {
+    const auto found = windows_.find({service, g.peer->name});
+    return found == windows_.end() || static_cast<double>(found->second.out) < found->second.size;
+  };
+  const bool room = std::any_of(all.begin(), all.end(), [&](const Group& g) { return g.peer && has_room(g); });
+  const auto slots = [&](const Group& g) {
+    if (g.peer == nullptr || (room && !has_room(g))) return 0.0;
+    return up > 0 ? g.up : g.starting;
+  };
   double sum = 0;
   for (const auto& group : all) sum += slots(group);
   double at = std::uniform_real_distribution<double>(0, sum)(random_);
@@ -127,26 +140,91 @@
 }
 
 void Desk::owners_changed() {
+  std::set<std::string> waiting;
+  for (const auto& [key, at] : windows_)
+    if (!at.waiting.empty()) waiting.insert(key.first);
   for (auto& [service, at] : stations_) {
     show(service);
     if (is_home(service)) continue;
     for (auto& call : at->give_away()) take(std::move(call));
   }
+  for (const auto& service : waiting) requeue(service);
 }
 
 void Desk::take(CallRef call) {
   // From a peer: this is its home, or was a moment ago.
   const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
   if (call->passed_on < most && (!call->from_peer || !is_home(call->service))) {
-    if (const toolbox::Peer* peer = home(call->service); peer != nullptr) return pass_on(std::move(call), *peer);
+    if (const toolbox::Peer* peer = home(call->service); peer != nullptr) return queue(std::move(call), *peer);
   }
   station(call->service).take(std::move(call));
 }
 
+Desk::Window& Desk::window(const std::string& peer, const std::string& service) {
+  auto& window = windows_[{service, peer}];
+  if (window.size > 0) return window;
+  const auto peers = static_cast<double>(std::max<std::size_t>(1, board_.peers.size()));
+  window.size = std::max(1.0, kWindowTime * settings_.calls_per_s() / peers);
+  return window;
+}
+
+void Desk::queue(CallRef call, const toolbox::Peer& peer) {
+  auto& at = window(peer.name, call->service);
+  if (static_cast<double>(at.out) < at.size && at.waiting.empty()) return pass_on(std::move(call), peer);
+  // What can't have its turn in time is told at once.
+  const double turn = at.usual / at.size;
+  const auto wait = static_cast<Micros>(turn * static_cast<double>(at.waiting.size() + 1) + at.usual);
+  if (now() + wait > call->deadline) return answer(call, {503, {}, {}, std::max(0.1, static_cast<double>(wait) / 2e6), true});
+  at.waiting.push_back(call);
+  alarms_.at(call->deadline - kHopAhead, [this, call, name = peer.name] {
+    const auto found = windows_.find({call->service, name});
+    if (found == windows_.end() || std::erase(found->second.waiting, call) == 0) return;
+    answer(call, {503, {}, {}, 0.2, true});
+  });
+}
+
+void Desk::answered_by(const std::string& peer, const std::string& service, Micros took, bool served) {
+  auto& at = window(peer, service);
+  if (at.out > 0) --at.out;
+  const auto span = static_cast<double>(took);
+  const bool slow = !served || (at.usual > 0 && span > kSlow * at.usual + kSlowLeast);
+  if (slow) {
+    if (now() - at.cut_at < static_cast<Micros>(at.usual) + static_cast<Micros>(kSlowLeast)) return;
+    at.cut_at = now();
+    at.size = std::max(1.0, at.size / 2);
+    at.usual += (std::min(span, 2 * at.usual + kSlowLeast) - at.usual) * kUsualWeight;
+    return;
+  }
+  at.size = std::min(kMostWindow, at.size + 1 / at.size);
+  at.usual = at.usual <= 0 ? span : at.usual + (span - at.usual) * kUsualWeight;
+}
+
+void Desk::pump(const std::string& peer, const std::string& service) {
+  const auto found = peer_at_.find(peer);
+  auto& at = window(peer, service);
+  while (!at.waiting.empty() && found != peer_at_.end() && static_cast<double>(at.out) < at.size) {
+    const CallRef call = at.waiting.front();
+    at.waiting.pop_front();
+    pass_on(call, board_.peers[found->second]);
+  }
+}
+
+// Its homes have changed: what waits goes by the new ones.
+void Desk::requeue(const std::string& service) {
+  std::vector<CallRef> calls;
+  for (auto at = windows_.lower_bound({service, {}}); at != windows_.end() && at->first.first == service; ++at) {
+    calls.insert(calls.end(), at->second.waiting.begin(), at->second.waiting.end());
+    at->second.waiting.clear();
+  }
+  std::stable_sort(calls.begin(), calls.end(), [](auto& a, auto& b) { return a->came < b->came; });
+  for (auto& call : calls) take(std::move(call));
+}
+
 void Desk::pass_on(CallRef call, const toolbox::Peer& peer) {
   const auto place = toolbox::read_place(peer.address);
   if (!place) return answer(call, {503, {}, {}, 0.2, true});
   ++call->passed_on;
+  ++window(peer.name, call->service).out;
   Errand errand;
   errand.to = place.value();
   errand.id = call->id;
@@ -165,21 +243,27 @@
     net::write_header(head, "Content-Length", std::to_string(call->body.size()));
   head += "\r\n";
   auto done = std::make_shared<bool>(false);
-  const auto number = errands_.start(std::move(errand), [this, call, done, name = peer.name](ErrandEnd end) {
+  const Micros sent = now();
+  const auto number = errands_.start(std::move(errand), [this, call, done, sent, name = peer.name](ErrandEnd end) {
     if (std::exchange(*done, true)) return;
-    passed(call, name, std::move(end));
+    passed(call, name, sent, std::move(end));
   });
-  alarms_.at(call->deadline, [this, call, done, number] {
+  alarms_.at(call->deadline, [this, call, done, sent, number, name = peer.name] {
     if (std::exchange(*done, true)) return;
     errands_.drop(number);
     answer(call, {504, {}, {}, 0, true});
+    answered_by(name, call->service, now() - sent, false);
+    pump(name, call->service);
   });
 }
 
-void Desk::passed(CallRef call, std::string peer, ErrandEnd end) {
+void Desk::passed(CallRef call, std::string peer, Micros sent, ErrandEnd end) {
   using How = ErrandEnd::How;
-  if (end.how == How::answered)
-    return answer(call, {end.status, std::move(end.head), std::move(end.body), end.retry_after_s, false});
+  answered_by(peer, call->service, now() - sent, end.how == How::answered && end.status != 503);
+  if (end.how == How::answered) {
+    answer(call, {end.status, std::move(end.head), std::move(end.body), end.retry_after_s, false});
+    return pump(peer, call->service);
+  }
   const Micros down_for = end.how == How::no_connection ? kPeerDown : kPeerShaken;
   const bool news = !is_down(peer);
   down_until_[peer] = now() + down_for;
@@ -211,7 +295,7 @@
     settles_.erase(id);
     refusals_.erase(id);
   };
-  if (news.whole) {
+  if (news.whole || !news.buckets.empty()) {
     std::vector<std::string> gone;
     for (const auto& [id, service] : service_of_)
       if (!board_.instances.contains(id)) gone.push_back(id);
@@ -237,6 +321,7 @@
     else if (is_home(service)) station(service);
   }
   if (peers_changed) owners_changed();
+  for (const auto& service : touched) requeue(service);
 }
 
 void Desk::has_news(Station& station) {
--- a/src/lathe/desk.h
+++ b/src/lathe/desk.h
@@ -1,6 +1,7 @@
 // What the proxy knows of the platform, and where each call goes: to its function's home, here or at a peer.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -57,8 +58,22 @@
   bool is_down(const std::string& peer);
   void owners_changed();
   Station& station(const std::string& service);
+  // Of one function at one other home: how much may be out there at once, and what waits for that. Guards a home
+  // with a thin link against more calls than it can read: there they would stand in front of its news too.
+  struct Window {
+    double size = 0;  // 0: not used yet
+    std::size_t out = 0;
+    double usual = 0;  // microseconds that answers take
+    Micros cut_at = 0;
+    std::deque<CallRef> waiting;
+  };
+  Window& window(const std::string& peer, const std::string& service);
+  void queue(CallRef call, const toolbox::Peer& peer);
   void pass_on(CallRef call, const toolbox::Peer& peer);
-  void passed(CallRef call, std::string peer, ErrandEnd end);
+  void passed(CallRef call, std::string peer, Micros sent, ErrandEnd end);
+  void answered_by(const std::string& peer, const std::string& service, Micros took, bool served);
+  void pump(const std::string& peer, const std::string& service);
+  void requeue(const std::string& service);
   void show(const std::string& service);
   void report_in(Micros span);
   void report();
@@ -76,6 +91,7 @@
   std::unordered_map<std::string, std::string> sender_;  // the last home of each, as seen here
   std::unordered_map<std::string, Micros> settles_;      // by id: until when
   std::unordered_map<std::string, std::size_t> peer_at_;
+  std::map<std::pair<std::string, std::string>, Window> windows_;  // by service and peer
   std::map<std::string, std::vector<std::size_t>> draws_;  // as they come; forgotten when the peers change
   std::minstd_rand random_;
   std::map<std::string, Micros> down_until_;               // peers that could not be reached
--- a/src/lathe/feed.cpp
+++ b/src/lathe/feed.cpp
@@ -26,7 +26,7 @@
   wire_ = toolbox::Wire::to(strand_, s.feed(), 0);
   wire_->say(toolbox::ProxySays{
       toolbox::Ask{s.node_name, s.zone, s.peer_link().text(), board.term, board.version, board.plan.version,
-                   s.calls_per_s()}});
+                   s.calls_per_s(), {}, {}}});
   wire_->start(
       [this](std::string_view bytes) {
         const auto said = toolbox::unpack<toolbox::FeedSays>(bytes);
--- a/src/toolbox/messages.h
+++ b/src/toolbox/messages.h
@@ -92,9 +92,13 @@
   std::vector<std::string> gone;  // ids
   bool plan_told = false;
   Plan plan;
+  Version plan_from = 0;  // 0: `plan` is whole; else what has changed since that version, and what is no more
+  std::vector<std::string> routes_gone, services_gone;  // by name
+  std::vector<std::uint8_t> buckets;  // of another term, not whole: the instances of these are replaced
   template <class A>
   void serialize(A& a) {
-    a(term, board, whole, peers_told, peers, changed, gone, plan_told, plan);
+    a(term, board, whole, peers_told, peers, changed, gone, plan_told, plan, plan_from, routes_gone,
+      services_gone, buckets);
   }
 };
 
@@ -129,9 +133,13 @@
   std::uint64_t term = 0;
   Version board = 0, plan = 0;  // that are held
   std::uint32_t calls_per_s = 0;  // that its machine bears as the home of one function; 0: not told
+  // On a new link, which may be to a new holder: the instances whose home it was told to be, by id, and a sum of
+  // each bucket of instances that it holds, so that only those which differ are told again.
+  std::vector<std::string> owned;
+  std::vector<std::uint64_t> sums;
   template <class A>
   void serialize(A& a) {
-    a(name, zone, proxy, term, board, plan, calls_per_s);
+    a(name, zone, proxy, term, board, plan, calls_per_s, owned, sums);
   }
 };
 
@@ -148,11 +156,18 @@
 using ProxySays = std::variant<Ask, Report>;     // to its agent over loopback: Ask once, with what it holds
 using FeedSays = std::variant<News>;             // the agent to its proxy
 
+inline constexpr std::size_t kBuckets = 128;
+std::size_t bucket_of(const std::string& id);
+std::uint64_t sum_of(const Instance& instance);  // of all that counts for long: not the time that a start has left
+// What turns one plan into the other, as part of news.
+void put_change(News& news, const Plan& from, const Plan& to);
+
 // What an agent and a proxy hold of the platform, kept by News.
 class Board {
  public:
   bool apply(const News& news);  // false: no word on peers and instances was taken
   News whole() const;  // as told to one that holds nothing
+  std::vector<std::uint64_t> sums() const;
   std::uint64_t term = 0;
   Version version = 0;
   std::vector<Peer> peers;
