--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -21,7 +21,8 @@
 constexpr double kSlow = 2.5;         // times the usual answer's time: the home has more than it bears ...
 constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
 constexpr double kUsualWeight = 0.1;  // of a new answer's time in the usual one
-constexpr Micros kSettle = 300'000;  // some works of an instance: what its last home has out there ends
+constexpr double kHomeMoved = 0.05;  // seconds, after which the new home is known
+constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
 
 }  // namespace
@@ -146,7 +147,11 @@
   for (auto& [service, at] : stations_) {
     show(service);
     if (is_home(service)) continue;
-    for (auto& call : at->give_away()) take(std::move(call));
+    for (auto& call : at->give_away()) {
+      // One that has come to its second proxy goes no further: its first one tries again.
+      if (call->from_peer && call->passed_on >= kMostPassedAgain) answer(call, {503, {}, {}, kHomeMoved, true});
+      else take(std::move(call));
+    }
   }
   for (const auto& service : waiting) requeue(service);
 }
@@ -374,8 +379,9 @@
 }
 
 void Desk::leave(Micros at) {
-  leaving_ = true;
+  const bool first = !std::exchange(leaving_, true);
   report_in(0);
+  if (first) owners_changed();  // what is held here waits for instances that another sends to now
   for (auto& [service, station] : stations_) station->leave(at);
 }
 
--- a/src/lathe/front.cpp
+++ b/src/lathe/front.cpp
@@ -24,6 +24,7 @@
                                       // close doesn't take the answer with it
 constexpr double kClientsPart = 0.6;  // of the descriptors; the rest is for instances and peers
 constexpr std::uint32_t kOwnDescriptors = 232;  // 200 are kept for files, the rest are listeners and the loop's
+constexpr double kPlanIn = 1.2;  // seconds: a core that has lost power is back with its plan about then
 constexpr int kPassedEnough = 100;  // the second proxy that a call is sent to keeps it
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);
 constexpr std::int64_t kLongestMs = 24 * 3600 * 1000;  // guards sums of times against nonsense
@@ -179,7 +180,7 @@
     if (fault != 0) {
       Reply reply;
       reply.status = fault;
-      if (fault == 503) reply.retry_after_s = 0.3;
+      if (fault == 503) reply.retry_after_s = kPlanIn;
       return write(std::move(reply));
     }
     call->asker = weak_from_this();
--- a/src/lathe/main.cpp
+++ b/src/lathe/main.cpp
@@ -81,6 +81,7 @@
   }
 
   void end() {
+    desk_.leave(desk_.now());  // whoever still waits is answered
     feed_.stop();
     front_.stop();
     desk_.stop();
--- a/src/lathe/station.cpp
+++ b/src/lathe/station.cpp
@@ -325,7 +325,7 @@
   std::vector<CallRef> calls;
   std::vector<RequestId> ids;
   for (auto& [id, open] : open_)
-    if (open.call && open.tries.empty() && !open.call->from_peer) ids.push_back(id);
+    if (open.call && open.tries.empty()) ids.push_back(id);
   for (const auto id : ids) {
     calls.push_back(std::exchange(open_.at(id).call, nullptr));
     --held_;
--- a/tests/platform/lathe/front_test.cpp
+++ b/tests/platform/lathe/front_test.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 
 #include "lathe/front.h"
+#include "toolbox/homes.h"
 
 using namespace woadridge;
 using boost::asio::ip::tcp;
@@ -221,6 +222,20 @@
   STRCMP_CONTAINS("X-Woadridge-Via: fn;read;r;2;400;4000;1", peer.asked[0].c_str());
 }
 
+// Guards against calls that wait for instances which another sends to by now: they were lost with the process.
+TEST(Front, ACallHeldAtAHomeThatLeavesGoesToTheNextHome) {
+  Played other(loop);
+  other.answers = {kGood};
+  std::string name = "other";  // one that draws lower than this proxy
+  while (toolbox::homes("fn", {{"me", "a", ""}, {name, "a", ""}}).front() != 0) name += "x";
+  plan_and({}, {{"me", "a", ""}, {name, "a", other.address()}});
+  boost::asio::post(strand, [this] {
+    desk->alarms().at(desk->now() + 20'000, [this] { desk->leave(desk->now() + 5'000'000); });
+  });
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
+  LONGS_EQUAL(1, other.asked.size());
+}
+
 TEST(Front, AHomeThatRefusesConnectionsIsPassedOver) {
   Played one(loop);
   one.answers = {kGood};
