Store: the code of a failed write is kept, its trouble told to the strand; a lease is looked at before what came late

Cause: on a full disk the reason was lost (that of the rollback was logged instead), so the file was opened anew each time; the store's thread wrote to the log beside the strand; a holder that had stood still handled letters before it saw that its lease was over. Change: write_rows gives SQLite's code of the step that failed, the thread tells its trouble once per change, core looks at the lease first.

--- a/src/anvil/core.cpp
+++ b/src/anvil/core.cpp
@@ -83,6 +83,8 @@
              std::clamp<std::uint32_t>(settings_.contact_ms / 4, 500, 2000),
              [this](const std::string& from, vise::Word word) {
                if (!member_) return;
+               // After a standstill the lease may be over: that comes before what has come meanwhile.
+               if (holding_ && !member_->holds(steady_now())) member_->tick(steady_now());
                member_->heard(from, std::move(word), steady_now());
                pump();
              }),
@@ -106,6 +108,9 @@
           if (member_) member_->persisted(token, good, steady_now());
           pump();
         });
+      },
+      [this](std::string trouble) {
+        boost::asio::post(strand_, [trouble = std::move(trouble)] { toolbox::warning(trouble); });
       });
   return boost::outcome_v2::success();
 }
--- a/src/vise/store.cpp
+++ b/src/vise/store.cpp
@@ -13,8 +13,6 @@
 #include <utility>
 #include <vector>
 
-#include "toolbox/log.h"
-
 namespace woadridge::vise {
 namespace {
 
@@ -86,23 +84,23 @@
   return damaged(code) ? Found::damaged : Found::unreachable;
 }
 
-bool write_rows(sqlite3* db, const Rows& rows) {
-  if (!run(db, "BEGIN IMMEDIATE")) return false;
-  bool good = true;
+int write_rows(sqlite3* db, const Rows& rows) {  // SQLite's code
+  if (!run(db, "BEGIN IMMEDIATE")) return sqlite3_errcode(db);
+  int code = SQLITE_OK;
   {
     const Statement put = prepare(db, "INSERT OR REPLACE INTO held VALUES(?1, ?2)");
-    good = put != nullptr;
+    if (!put) code = sqlite3_errcode(db);
     for (const auto& [name, value] : rows) {
-      if (!good) break;
+      if (code != SQLITE_OK) break;
       sqlite3_bind_text(put.get(), 1, name.data(), static_cast<int>(name.size()), SQLITE_STATIC);
       sqlite3_bind_blob64(put.get(), 2, value.data(), value.size(), SQLITE_STATIC);
-      good = sqlite3_step(put.get()) == SQLITE_DONE;
+      if (const int done = sqlite3_step(put.get()); done != SQLITE_DONE) code = done;
       sqlite3_reset(put.get());
     }
   }
-  good = good && run(db, "COMMIT");
-  if (!good) run(db, "ROLLBACK");
-  return good;
+  if (code == SQLITE_OK && !run(db, "COMMIT")) code = sqlite3_errcode(db);
+  if (code != SQLITE_OK) run(db, "ROLLBACK");
+  return code;
 }
 
 }  // namespace
@@ -111,6 +109,7 @@
   std::string folder;
   OnOpen on_open;
   OnWritten on_written;
+  OnTrouble on_trouble;
   std::mutex guard;
   std::condition_variable woken;
   Rows rows;                          // that wait
@@ -135,7 +134,7 @@
     if (found == Found::damaged) {
       // What it had promised is gone. It comes back as one that lost its disk, never as one that had not
       // voted.
-      toolbox::error("the store is damaged and was put aside", {{"path", path}});
+      trouble("the store is damaged and was put aside: " + path);
       db.reset();
       std::filesystem::rename(path, aside, fault);
       if (fault) return false;
@@ -169,7 +168,7 @@
     Opened opened;
     while (!open(db, opened, false)) {
       db.reset();
-      if (!std::exchange(told_, true)) toolbox::warning("the store can't be opened", {{"folder", folder}});
+      trouble("the store can't be opened: " + folder);
       if (!rest()) return;
     }
     std::unique_lock lock(guard);
@@ -181,14 +180,15 @@
       const Rows batch = std::exchange(rows, {});
       const auto done = std::exchange(tokens, {});
       lock.unlock();
-      const bool good = (db || open_again(db)) && write_rows(db.get(), batch);
+      const int code = db || open_again(db) ? write_rows(db.get(), batch) : SQLITE_CANTOPEN;
+      const bool good = code == SQLITE_OK;
       if (!good) {
-        const int code = db ? sqlite3_errcode(db.get()) : SQLITE_CANTOPEN;
-        toolbox::warning("a write to the store failed", {{"why", sqlite3_errstr(code)}});
+        trouble(std::string("a write to the store failed: ") + sqlite3_errstr(code));
         if (!rest()) return;  // guards against a loop of failures that eats the processor
         lock.lock();
         if (begun && (code & 0xff) != SQLITE_FULL) db.reset();
       } else {
+        told_.clear();
         lock.lock();
       }
       if (ending) return;
@@ -198,13 +198,19 @@
   }
 
  private:
-  bool told_ = false;
+  void trouble(const std::string& what) {
+    if (what != told_) on_trouble(what);
+    told_ = what;
+  }
+  std::string told_;
 };
 
-Store::Store(std::string folder, OnOpen on_open, OnWritten on_written) : inside_(std::make_shared<Inside>()) {
+Store::Store(std::string folder, OnOpen on_open, OnWritten on_written, OnTrouble on_trouble)
+    : inside_(std::make_shared<Inside>()) {
   inside_->folder = std::move(folder);
   inside_->on_open = std::move(on_open);
   inside_->on_written = std::move(on_written);
+  inside_->on_trouble = std::move(on_trouble);
   std::thread([inside = inside_] {
     inside->work();
     const std::lock_guard lock(inside->guard);
--- a/src/vise/store.h
+++ b/src/vise/store.h
@@ -20,11 +20,12 @@
  public:
   using OnOpen = std::function<void(Opened)>;
   using OnWritten = std::function<void(std::uint64_t token, bool good)>;
+  using OnTrouble = std::function<void(std::string)>;  // one line for a person, each time that it changes
 
-  // Both are called on the store's thread; opening is tried again for as long as it fails. A file that turns
+  // All are called on the store's thread; opening is tried again for as long as it fails. A file that turns
   // out to be damaged later is put aside too: `on_open` comes once more, and whoever wrote until then is not
   // to go on.
-  Store(std::string folder, OnOpen on_open, OnWritten on_written);
+  Store(std::string folder, OnOpen on_open, OnWritten on_written, OnTrouble on_trouble);
   ~Store();  // what was not begun is dropped, as at a crash; one that the disk holds up is not waited for
              // long
   Store(const Store&) = delete;
--- a/tests/platform/vise/store_test.cpp
+++ b/tests/platform/vise/store_test.cpp
@@ -61,12 +61,12 @@
 
   Opened look() {
     Ears ears;
-    Store store(folder + "/data", ears.on_open(), ears.on_written());
+    Store store(folder + "/data", ears.on_open(), ears.on_written(), [](const std::string&) {});
     return ears.opened();
   }
   void write(const Rows& rows) {
     Ears ears;
-    Store store(folder + "/data", ears.on_open(), ears.on_written());
+    Store store(folder + "/data", ears.on_open(), ears.on_written(), [](const std::string&) {});
     ears.opened();
     store.begin();
     store.write(1, rows);
@@ -101,7 +101,7 @@
 TEST(StoreFiles, WritesNothingBeforeItsMemberHasBegun) {
   {
     Ears ears;
-    Store store(folder + "/data", ears.on_open(), ears.on_written());
+    Store store(folder + "/data", ears.on_open(), ears.on_written(), [](const std::string&) {});
     ears.opened();
     store.write(1, {{"state", "voter"}});
     store.begin();
