What has not run goes to the new home too, and the end of a process answers all

Change: what has no attempt out and surely has not run is given away; held counts the same; a proxy that ends answers 502 where the call is still out at a peer.

--- a/src/lathe/front.cpp
+++ b/src/lathe/front.cpp
@@ -78,6 +78,11 @@
     front_.visitors_.erase(place);
   }
 
+  // The process ends: what may run elsewhere gets an answer all the same.
+  void give_up() {
+    if (waiting_) reply({502, {}, {}, 0, true});
+  }
+
   // A request that is there is taken, not cut off.
   void close_if_idle() {
     if (waiting_ || writing_ || lingering_ || !reader_.untouched()) return;
@@ -392,6 +397,7 @@
   }
   while (!visitors_.empty()) {
     const auto visitor = visitors_.front();
+    visitor->give_up();
     visitor->close();
   }
 }
--- a/src/lathe/station.cpp
+++ b/src/lathe/station.cpp
@@ -116,14 +116,13 @@
   const int attempt = static_cast<int>(open.tries.size());
   const Micros now = desk_.now();
   open.tries.push_back({action.worker, 0, now});
-  ++open.out;
-  if (open.tries.size() == 1) --held_;
+  if (open.out++ == 0 && open.call) --held_;
   ++busy_;
   const auto known = known_.find(action.worker);
   if (known == known_.end() || !open.call || (attempt > 0 && !may_try_again())) {
     events_.push_back(Outcome{action.id, attempt, action.worker, Result::never_sent, false, {}});
     --busy_;
-    --open.out;
+    if (--open.out == 0 && open.call) ++held_;
     return;
   }
   const Call& call = *open.call;
@@ -179,7 +178,7 @@
 
 void Station::answered(Open& open, Reply reply) {
   if (!open.call) return;
-  if (open.tries.empty()) --held_;
+  if (open.out == 0) --held_;
   answer(open.call, std::move(reply));
   open.call = nullptr;
 }
@@ -237,7 +236,7 @@
   auto& open = open_.at(id);
   auto& one = open.tries[static_cast<std::size_t>(attempt)];
   one.errand = 0;
-  --open.out;
+  if (--open.out == 0 && open.call) ++held_;
   --busy_;
   open.may_have_run |= result == Result::broken || result == Result::timed_out;
   const WorkerId instance = one.instance;
@@ -325,7 +324,7 @@
   std::vector<CallRef> calls;
   std::vector<RequestId> ids;
   for (auto& [id, open] : open_)
-    if (open.call && open.tries.empty()) ids.push_back(id);
+    if (open.call && open.out == 0 && (open.call->repeatable || !open.may_have_run)) ids.push_back(id);
   for (const auto id : ids) {
     calls.push_back(std::exchange(open_.at(id).call, nullptr));
     --held_;
--- a/src/lathe/station.h
+++ b/src/lathe/station.h
@@ -86,7 +86,7 @@
   RequestId last_ = 0;
   std::map<WorkerId, Known> known_;
   std::map<std::string, double> estimates_;  // microseconds that answers took, by route and size of body
-  std::size_t usable_ = 0, busy_ = 0, held_ = 0;
+  std::size_t usable_ = 0, busy_ = 0, held_ = 0;  // held: of those with no attempt out
   toolbox::Demand demand_;  // since the last report
   std::deque<Micros> firsts_, repeats_;  // attempts inside the window of the shared budget
 };
