An instance that stays full is asked less and less; a home that meets ready ones waits a moment

Ruled out: a second home at that time (log: no change of peers for 12 s). Change: full answers that come back soon double the cap's time up to 1.6 s; ready instances first seen settle for 0.4 s.

--- a/src/decide/retries.h
+++ b/src/decide/retries.h
@@ -6,7 +6,7 @@
 namespace woadridge {
 
 // How long a full answer counts where slots are told; between two tries to place what is held, at least.
-constexpr Micros kOverlap = 200'000, kLeastPause = 2'000;
+constexpr Micros kOverlap = 200'000, kRecent = 2'000'000, kLeastPause = 2'000;
 // Doublings of a judged worker's rest or a wait for a list; spans of progress notes until one is missed.
 constexpr int kDoublings = 4, kMissedNotes = 2;
 
@@ -69,8 +69,9 @@
       learn_pace(w, r, a, 1);
       if (a.seen_start) mean_run += (static_cast<double>(now - a.started) - mean_run) / kKindMemory;
     } else if (result == Result::full && w.info.slots > 0) {
+      if (now >= w.cap_ends) w.fulls = now - w.cap_ends < kRecent ? std::min(w.fulls + 1, kDoublings - 1) : 0;
       w.cap = w.out;
-      rest(w, w.cap_ends = now + kOverlap);
+      rest(w, w.cap_ends = now + (kOverlap << w.fulls));
       alarm(w.cap_ends, Why::rested);
     } else if (result == Result::full) {
       see_full(w);
--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -22,6 +22,7 @@
 constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
 constexpr double kUsualWeight = 0.1;  // of a new answer's time in the usual one
 constexpr double kHomeMoved = 0.05;  // seconds, after which the new home is known
+constexpr Micros kSettleUnknown = 400'000;  // where it isn't known who sent before, if anybody
 constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
 
@@ -130,10 +131,9 @@
     const auto* peer = owner(instance);
     const auto& name = peer == nullptr ? settings_.node_name : peer->name;
     auto& before = sender_[id];
-    const bool moved = !before.empty() && before != name;
-    if (moved && peer == nullptr && peer_at_.contains(before) && !is_down(before) &&
-        instance.condition == toolbox::Condition::ready)
-      settles_[id] = now() + kSettle;
+    const bool there = before.empty() ? board_.peers.size() > 1 : peer_at_.contains(before) && !is_down(before);
+    if (peer == nullptr && before != name && there && instance.condition == toolbox::Condition::ready)
+      settles_[id] = now() + (before.empty() ? kSettleUnknown : kSettle);
     before = name;
     if (peer == nullptr) mine.push_back(instance);
   }
--- a/src/records.h
+++ b/src/records.h
@@ -97,6 +97,7 @@
   Fading others;                 // slots in use by others beyond the usual
   double cap = 0;                // own slots allowed since it answered full; 0: no cap
   Micros cap_ends = 0;           // where its slots are told: then alone, and 0 is a cap too
+  int fulls = 0;                 // there: full answers that came soon after the last cap's end
   double counted = 0;            // of these slots in its lane's sum, and ...
   bool counted_big = false;      // ... which lane
   double part = 1;               // of the jobs whose place it is that go there: it is overfull else
