--- a/tests/decide/told_slots_test.cpp
+++ b/tests/decide/told_slots_test.cpp
@@ -179,6 +179,21 @@
   EXPECT_EQ(rig.count<Refuse>(id), 1);
 }
 
+// Guards against a bound on turned-away requests that one lasting stranger at an instance uses up alone.
+TEST(ToldSlots, AWorkerThatStaysFullIsAskedLessAndLess) {
+  Rig rig(told_settings());
+  rig.workers(told(1, 1));
+  int asked = 0;
+  for (int n = 0; n < 50; ++n) {
+    const auto id = rig.ask("unsafe");
+    for (std::size_t seen = 0; rig.sends(id).size() > seen; ++seen, ++asked)
+      rig.end(id, Result::full, static_cast<int>(seen));
+    rig.pass(100 * kMs);
+  }
+  EXPECT_GE(asked, 3);
+  EXPECT_LE(asked, 9);  // in 5 s; with caps of 200 ms alone it was 25
+}
+
 TEST(ToldSlots, AfterAFullAnswerAnotherWorkerIsTriedAtOnce) {
   Rig rig(told_settings());
   rig.workers(told(2, 1));
--- a/tests/platform/bellows/board_test.cpp
+++ b/tests/platform/bellows/board_test.cpp
@@ -10,6 +10,39 @@
 
 TEST_GROUP(Board){};
 
+// A new holder's board differs in a few instances: those who hold the earlier one's come to the same, for little.
+TEST(Board, ANewTermTellsOnlyTheBucketsThatDiffer) {
+  std::mt19937_64 random(3);
+  anvil::Board before, after;
+  before.begin(1);
+  after.begin(2);
+  after.peers({{"p", "a", "10.0.0.1:1"}});
+  for (int n = 0; n < 600; ++n) {
+    toolbox::Instance instance;
+    instance.id = "i-" + std::to_string(n);
+    instance.service = "f" + std::to_string(n % 50);
+    instance.condition = toolbox::Condition::ready;
+    if (n % 200 != 7) before.change(instance);   // three that only the new one knows,
+    if (n % 150 == 9) instance.home = "p";       // four that differ,
+    if (n % 300 != 11) after.change(instance);   // two that are gone
+  }
+  toolbox::Board agent;
+  agent.apply(before.since(0, 0));
+  const auto news = after.rebase(agent.sums());
+  CHECK(!news.whole);
+  CHECK(news.buckets.size() <= 9);
+  CHECK(news.changed.size() < 120);
+  agent.apply(news);
+  toolbox::Board whole;
+  whole.apply(after.since(0, 0));
+  CHECK_EQUAL(2u, agent.term);
+  CHECK(whole.instances == agent.instances);
+  CHECK(whole.peers == agent.peers);
+  // The same once more says nothing, and a stranger's sums get all of it.
+  CHECK(after.rebase(agent.sums()).changed.size() < 20);
+  CHECK(after.rebase({1, 2, 3}).whole);
+}
+
 // Whoever applies the differences, in whatever steps, ends with what one that is told everything holds.
 TEST(Board, DifferencesComeToTheSameAsTheWhole) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- /dev/null
+++ b/tests/platform/bellows/spread_test.cpp
@@ -0,0 +1,100 @@
+#include "bellows/spread.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+// Last: its macros for new and delete break the standard library's headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace woadridge;
+
+TEST_GROUP(Spread) {
+  bellows::Spread spread;
+  std::map<std::string, std::string> board;  // instance -> home, as told
+  Micros now = 1'000'000;
+
+  void peers(int count) {
+    std::vector<toolbox::Peer> all;
+    for (int n = 0; n < count; ++n) all.push_back({"p" + std::to_string(n), "a", ""});
+    spread.peers(all, 50);
+  }
+  void start(const std::string& id) {
+    toolbox::Instance instance;
+    instance.id = id;
+    instance.service = "f";
+    spread.place(now, instance);
+    board[id] = instance.home;
+  }
+  // So many calls a second for a while; the most moves in any second.
+  std::size_t pass(int calls_per_s, int seconds) {
+    std::size_t most = 0;
+    for (int s = 0; s < seconds; ++s) {
+      std::size_t moved = 0;
+      for (int n = 0; n < 10; ++n) {
+        toolbox::Report report;
+        report.demand.push_back({"f", static_cast<std::uint32_t>(calls_per_s / 10), 0, 0, 0, 0, 0, 0});
+        spread.told(now, report);
+        for (const auto& [id, home] : spread.moves(now)) {
+          board[id] = home;
+          ++moved;
+        }
+        now += 100'000;
+      }
+      most = std::max(most, moved);
+    }
+    return most;
+  }
+  std::size_t homes() {
+    std::set<std::string> all;
+    for (const auto& [id, home] : board) all.insert(home);
+    return all.size();
+  }
+};
+
+TEST(Spread, OneHomeIsTheRule) {
+  peers(9);
+  for (int n = 0; n < 4; ++n) start("i" + std::to_string(n));
+  pass(40, 5);
+  LONGS_EQUAL(1, homes());
+  STRCMP_EQUAL("", board["i0"].c_str());
+}
+
+TEST(Spread, MoreCallsThanOneBearsGetMoreHomesStepByStepAndKeepThemInALull) {
+  peers(9);
+  for (int n = 0; n < 8; ++n) start("i" + std::to_string(n));
+  pass(40, 2);
+  // All are named at once, as the draw may change; then one moves at a time.
+  pass(300, 1);
+  const auto most = pass(300, 8);
+  CHECK(most <= 2);
+  LONGS_EQUAL(6, homes());
+  start("late");
+  CHECK(!board["late"].empty());
+  pass(40, 5);
+  CHECK(homes() >= 6);
+}
+
+TEST(Spread, AHomeThatIsGoneIsReplacedAtOnce) {
+  peers(9);
+  for (int n = 0; n < 6; ++n) start("i" + std::to_string(n));
+  pass(300, 8);
+  peers(2);
+  pass(300, 1);
+  for (const auto& [id, home] : board) CHECK(home == "p0" || home == "p1");
+}
+
+// Guards against a new holder that takes every busy function back to one machine.
+TEST(Spread, ANewTermKeepsTheHomesThatItIsToldOf) {
+  peers(9);
+  for (int n = 0; n < 6; ++n) start("i" + std::to_string(n));
+  pass(300, 8);
+  const auto before = board;
+  spread.begin();
+  for (const auto& [id, home] : before) spread.held(id, home);
+  peers(9);
+  for (const auto& [id, home] : before) start(id);
+  CHECK(board == before);
+  pass(300, 3);
+  CHECK(homes() == 6);
+}
--- a/tests/platform/lathe/toolbox_test.cpp
+++ b/tests/platform/lathe/toolbox_test.cpp
@@ -81,6 +81,58 @@
   }
 }
 
+TEST_GROUP(PlanChanges) {
+  std::minstd_rand random{11};
+  toolbox::Plan next(toolbox::Plan plan) {
+    plan.version += 1 + random() % 3;
+    for (int n = 0; n < 4; ++n) {
+      const auto name = "r" + std::to_string(random() % 12);
+      std::erase_if(plan.routes, [&](auto& r) { return r.name == name; });
+      if (random() % 3 != 0)
+        plan.routes.push_back({name, "h", "/" + name + "/", "s" + std::to_string(random() % 3), true, 4000,
+                               static_cast<std::uint32_t>(random() % 5), 1, 2});
+    }
+    plan.services.resize(1 + random() % 3);
+    for (std::size_t n = 0; n < plan.services.size(); ++n) plan.services[n].name = "s" + std::to_string(n);
+    plan.limits.idle_timeout_ms = static_cast<std::uint32_t>(random() % 9);
+    return plan;
+  }
+  std::map<std::string, toolbox::Route> by_name(const toolbox::Plan& plan) {
+    std::map<std::string, toolbox::Route> all;
+    for (const auto& route : plan.routes) all[route.name] = route;
+    return all;
+  }
+};
+
+TEST(PlanChanges, ADifferenceMakesTheSamePlanAndMeetsNoOther) {
+  toolbox::Plan plan;
+  plan.version = 1;
+  toolbox::Board board;
+  board.plan = plan;
+  for (int step = 0; step < 500; ++step) {
+    const auto to = next(plan);
+    toolbox::News news;
+    toolbox::put_change(news, plan, to);
+    CHECK(news.plan.routes.size() <= 4);
+    toolbox::Board other;  // that holds another version: the difference means nothing to it
+    other.plan.version = plan.version + 100000;
+    other.apply(news);
+    LONGS_EQUAL(plan.version + 100000, other.plan.version);
+    if (step % 7 == 0) {  // lost on the way: the next one is from what is held
+      toolbox::News late;
+      toolbox::put_change(late, to, next(to));
+      board.apply(late);
+      LONGS_EQUAL(plan.version, board.plan.version);
+    }
+    board.apply(news);
+    LONGS_EQUAL(to.version, board.plan.version);
+    CHECK(by_name(board.plan) == by_name(to));
+    CHECK(board.plan.limits == to.limits);
+    LONGS_EQUAL(to.services.size(), board.plan.services.size());
+    plan = to;
+  }
+}
+
 TEST_GROUP(Homes) {
   std::vector<toolbox::Peer> peers(int n) {
     std::vector<toolbox::Peer> all;
