--- a/src/anvil/foreman.cpp
+++ b/src/anvil/foreman.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr double kMachinesShare = 0.3;      // of the lists' calls: machines change seldom
-constexpr std::size_t kPlansKept = 8;  // of these an agent that holds one is told the difference
+constexpr std::size_t kPlansKept = 8;       // of these an agent that holds one is told the difference
 constexpr Micros kListAgain = 100'000;      // after no answer: the list is what all else hangs on
 constexpr std::uint32_t kMostSlowDown = 8;  // times: three seconds between two lists, drain-ms is seldom less
 
--- a/src/bellows/spread.cpp
+++ b/src/bellows/spread.cpp
@@ -13,7 +13,7 @@
 constexpr double kDown = 0.15;               // and when it is lower: bursts come in flocks
 constexpr double kNarrow = 0.6;              // homes are given up when so much of their number would do ...
 constexpr Micros kNarrowAfter = 10'000'000;  // ... for so long
-constexpr int kMovesAtOnce = 1;  // of a function: each may meet what its last home still has out
+constexpr int kMovesAtOnce = 1;              // of a function: each may meet what its last home still has out
 constexpr Micros kMoveEvery =
     600'000;  // of one function: what the last home has out at the instance ends first
 
--- a/src/blueprint/blueprint.h
+++ b/src/blueprint/blueprint.h
@@ -10,8 +10,9 @@
 namespace woadridge::blueprint {
 
 struct Reading {
-  toolbox::Plan plan;               // whole only where there are no faults
-  std::vector<std::string> faults;  // each with its place and a plain reason: all of them, not the first alone
+  toolbox::Plan plan;  // whole only where there are no faults
+  std::vector<std::string>
+      faults;  // each with its place and a plain reason: all of them, not the first alone
   bool good() const { return faults.empty(); }
 };
 
--- a/src/jig/agent.cpp
+++ b/src/jig/agent.cpp
@@ -115,7 +115,8 @@
   asked_at_ = now();
   answer_by_ = asked_at_ + seek_.patience();
   up_->say(AgentSays{Ask{settings_.node_name, settings_.zone, proxy_address_, board_.term, board_.version,
-                         board_.plan.version, settings_.calls_per_s(), std::exchange(owned_, {}), std::exchange(sums_, {})}});
+                         board_.plan.version, settings_.calls_per_s(), std::exchange(owned_, {}),
+                         std::exchange(sums_, {})}});
   wait(answer_timer_, seek_.patience(), [this] { unanswered(); });
 }
 
--- a/src/jig/agent.h
+++ b/src/jig/agent.h
@@ -64,9 +64,9 @@
   WirePtr up_, proxy_;
   std::vector<WirePtr> knocking_;  // connected, and hasn't said that it's the proxy
   std::string proxy_address_;
-  std::vector<std::string> owned_;  // for the first question on a link, and ...
+  std::vector<std::string> owned_;   // for the first question on a link, and ...
   std::vector<std::uint64_t> sums_;  // ... so are these
-  bool linked_ = false;  // the holder is at the other end of up_: it has answered with news
+  bool linked_ = false;              // the holder is at the other end of up_: it has answered with news
   bool leaving_ = false, ending_ = false;
   Place at_;  // the other end of up_
   Millis dialed_at_ = 0, asked_at_ = 0, answer_by_ = 0, unlinked_at_ = 0;
--- a/src/lathe/call.h
+++ b/src/lathe/call.h
@@ -11,7 +11,7 @@
 
 struct Reply {
   int status = 502;
-  std::string head;     // whole header lines that go along; framing and connection are the connection's own
+  std::string head;  // whole header lines that go along; framing and connection are the connection's own
   std::string body;
   double retry_after_s = 0;  // 0: not said
   bool own = true;           // made here, not by an instance
@@ -32,7 +32,7 @@
   bool repeatable = false;
   bool from_peer = false;  // it has come to its home, or to who is taken for it
   std::uint32_t max_tries = 1;
-  Micros aim = 0;  // the span inside which an answer earns its full worth
+  Micros aim = 0;      // the span inside which an answer earns its full worth
   Micros longest = 0;  // the route's deadline
   Micros came = 0;
   Micros deadline = 0;  // the answer must be on its way by then
@@ -53,7 +53,8 @@
 inline constexpr std::string_view kTarget = "X-Woadridge-Target-Instance";
 inline constexpr std::string_view kSeal = "X-Woadridge-Instance-Seal";
 inline constexpr std::string_view kNotExecuted = "X-Woadridge-Not-Executed";
-// Between two proxies: the route as the first one saw it, so that the home's older or newer plan decides nothing.
+// Between two proxies: the route as the first one saw it, so that the home's older or newer plan decides
+// nothing.
 inline constexpr std::string_view kVia = "X-Woadridge-Via";
 bool goes_along(std::string_view header);  // not of one connection, nor written anew at each hop
 
--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -8,20 +8,23 @@
 namespace woadridge::lathe {
 namespace {
 
-constexpr Micros kPeerDown = 1'000'000;  // a peer that refused a connection; the board says soon whether it is gone
+constexpr Micros kPeerDown =
+    1'000'000;  // a peer that refused a connection; the board says soon whether it is gone
 constexpr Micros kPeerShaken = 300'000;  // one that broke one off
 constexpr Micros kReportEvery = 250'000;
-constexpr Micros kReportSoon = 2'000;  // a held call without an instance: together with those of the same moment
+constexpr Micros kReportSoon =
+    2'000;  // a held call without an instance: together with those of the same moment
 constexpr Micros kReportHeld = 80'000;  // calls are waiting: the holder weighs a start
-constexpr Micros kHopAhead = 3'000;  // the home answers so long before the first proxy gives up
-constexpr int kMostPassed = 3;       // times that one call is sent to a peer
-constexpr int kMostPassedAgain = 1;  // by one that it was sent to: boards differ for a moment
-constexpr double kWindowTime = 0.25;  // seconds of what a home bears that may be out there, of all proxies at first
-constexpr double kMostWindow = 64;    // calls of one function out at one home
-constexpr double kSlow = 2.5;         // times the usual answer's time: the home has more than it bears ...
+constexpr Micros kHopAhead = 3'000;     // the home answers so long before the first proxy gives up
+constexpr int kMostPassed = 3;          // times that one call is sent to a peer
+constexpr int kMostPassedAgain = 1;     // by one that it was sent to: boards differ for a moment
+constexpr double kWindowTime =
+    0.25;  // seconds of what a home bears that may be out there, of all proxies at first
+constexpr double kMostWindow = 64;     // calls of one function out at one home
+constexpr double kSlow = 2.5;          // times the usual answer's time: the home has more than it bears ...
 constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
-constexpr double kUsualWeight = 0.1;  // of a new answer's time in the usual one
-constexpr double kHomeMoved = 0.05;  // seconds, after which the new home is known
+constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
+constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
 constexpr Micros kSettleUnknown = 400'000;  // where it isn't known who sent before, if anybody
 constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
@@ -29,8 +32,11 @@
 }  // namespace
 
 Desk::Desk(net::Strand strand, toolbox::Settings settings)
-    : settings_(std::move(settings)), space_(settings_.memory_mb), alarms_(strand, clock_),
-      errands_(strand, clock_, alarms_, space_), random_(static_cast<unsigned>(fnv1a(settings_.node_name))) {}
+    : settings_(std::move(settings)),
+      space_(settings_.memory_mb),
+      alarms_(strand, clock_),
+      errands_(strand, clock_, alarms_, space_),
+      random_(static_cast<unsigned>(fnv1a(settings_.node_name))) {}
 
 bool Desk::is_down(const std::string& peer) {
   const auto down = down_until_.find(peer);
@@ -88,7 +94,8 @@
     const auto found = windows_.find({service, g.peer->name});
     return found == windows_.end() || static_cast<double>(found->second.out) < found->second.size;
   };
-  const bool room = std::any_of(all.begin(), all.end(), [&](const Group& g) { return g.peer && has_room(g); });
+  const bool room =
+      std::any_of(all.begin(), all.end(), [&](const Group& g) { return g.peer && has_room(g); });
   const auto slots = [&](const Group& g) {
     if (g.peer == nullptr || (room && !has_room(g))) return 0.0;
     return up > 0 ? g.up : g.starting;
@@ -131,7 +138,8 @@
     const auto* peer = owner(instance);
     const auto& name = peer == nullptr ? settings_.node_name : peer->name;
     auto& before = sender_[id];
-    const bool there = before.empty() ? board_.peers.size() > 1 : peer_at_.contains(before) && !is_down(before);
+    const bool there =
+        before.empty() ? board_.peers.size() > 1 : peer_at_.contains(before) && !is_down(before);
     if (peer == nullptr && before != name && there && instance.condition == toolbox::Condition::ready)
       settles_[id] = now() + (before.empty() ? kSettleUnknown : kSettle);
     before = name;
@@ -149,7 +157,8 @@
     if (is_home(service)) continue;
     for (auto& call : at->give_away()) {
       // One that has come to its second proxy goes no further: its first one tries again.
-      if (call->from_peer && call->passed_on >= kMostPassedAgain) answer(call, {503, {}, {}, kHomeMoved, true});
+      if (call->from_peer && call->passed_on >= kMostPassedAgain)
+        answer(call, {503, {}, {}, kHomeMoved, true});
       else take(std::move(call));
     }
   }
@@ -160,7 +169,8 @@
   // From a peer: this is its home, or was a moment ago.
   const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
   if (call->passed_on < most && (!call->from_peer || !is_home(call->service))) {
-    if (const toolbox::Peer* peer = home(call->service); peer != nullptr) return queue(std::move(call), *peer);
+    if (const toolbox::Peer* peer = home(call->service); peer != nullptr)
+      return queue(std::move(call), *peer);
   }
   station(call->service).take(std::move(call));
 }
@@ -179,12 +189,15 @@
   // What can't have its turn in time is told at once.
   const double turn = at.usual / at.size;
   const auto wait = static_cast<Micros>(turn * static_cast<double>(at.waiting.size() + 1) + at.usual);
-  if (now() + wait > call->deadline) return answer(call, {503, {}, {}, std::max(0.1, static_cast<double>(wait) / 2e6), true});
+  if (now() + wait > call->deadline)
+    return answer(call, {503, {}, {}, std::max(0.1, static_cast<double>(wait) / 2e6), true});
   at.waiting.push_back(call);
-  alarms_.at(call->deadline - kHopAhead, [this, call, name = peer.name] {
-    const auto found = windows_.find({call->service, name});
-    if (found == windows_.end() || std::erase(found->second.waiting, call) == 0) return;
-    answer(call, {503, {}, {}, 0.2, true});
+  alarms_.at(call->deadline - kHopAhead, [this, weak = std::weak_ptr(call), name = peer.name] {
+    const auto late = weak.lock();
+    if (!late) return;
+    const auto found = windows_.find({late->service, name});
+    if (found == windows_.end() || std::erase(found->second.waiting, late) == 0) return;
+    answer(late, {503, {}, {}, 0.2, true});
   });
 }
 
@@ -217,7 +230,8 @@
 // Its homes have changed: what waits goes by the new ones.
 void Desk::requeue(const std::string& service) {
   std::vector<CallRef> calls;
-  for (auto at = windows_.lower_bound({service, {}}); at != windows_.end() && at->first.first == service; ++at) {
+  for (auto at = windows_.lower_bound({service, {}}); at != windows_.end() && at->first.first == service;
+       ++at) {
     calls.insert(calls.end(), at->second.waiting.begin(), at->second.waiting.end());
     at->second.waiting.clear();
   }
@@ -249,16 +263,19 @@
   head += "\r\n";
   auto done = std::make_shared<bool>(false);
   const Micros sent = now();
-  const auto number = errands_.start(std::move(errand), [this, call, done, sent, name = peer.name](ErrandEnd end) {
-    if (std::exchange(*done, true)) return;
-    passed(call, name, sent, std::move(end));
-  });
-  alarms_.at(call->deadline, [this, call, done, sent, number, name = peer.name] {
-    if (std::exchange(*done, true)) return;
+  const auto number =
+      errands_.start(std::move(errand), [this, call, done, sent, name = peer.name](ErrandEnd end) {
+        if (std::exchange(*done, true)) return;
+        passed(call, name, sent, std::move(end));
+      });
+  // The alarm outlives most calls by seconds: it must not keep their buffers.
+  alarms_.at(call->deadline, [this, weak = std::weak_ptr(call), done, sent, number, name = peer.name] {
+    const auto late = weak.lock();
+    if (std::exchange(*done, true) || !late) return;
     errands_.drop(number);
-    answer(call, {504, {}, {}, 0, true});
-    answered_by(name, call->service, now() - sent, false);
-    pump(name, call->service);
+    answer(late, {504, {}, {}, 0, true});
+    answered_by(name, late->service, now() - sent, false);
+    pump(name, late->service);
   });
 }
 
--- a/src/lathe/desk.h
+++ b/src/lathe/desk.h
@@ -47,7 +47,7 @@
   void refused_connection(const std::string& instance);
 
  private:
-  struct Group {  // the instances of a function that one proxy is home to
+  struct Group {                          // the instances of a function that one proxy is home to
     const toolbox::Peer* peer = nullptr;  // null: this proxy
     double up = 0, starting = 0;          // slots
   };
@@ -58,8 +58,9 @@
   bool is_down(const std::string& peer);
   void owners_changed();
   Station& station(const std::string& service);
-  // Of one function at one other home: how much may be out there at once, and what waits for that. Guards a home
-  // with a thin link against more calls than it can read: there they would stand in front of its news too.
+  // Of one function at one other home: how much may be out there at once, and what waits for that. Guards a
+  // home with a thin link against more calls than it can read: there they would stand in front of its news
+  // too.
   struct Window {
     double size = 0;  // 0: not used yet
     std::size_t out = 0;
@@ -86,17 +87,18 @@
   Router router_;
   toolbox::Board board_;
   std::map<std::string, std::unique_ptr<Station>> stations_;
-  std::unordered_map<std::string, std::map<std::string, toolbox::Instance>> instances_;  // the board's by service
-  std::unordered_map<std::string, std::string> service_of_;                              // by id
-  std::unordered_map<std::string, std::string> sender_;  // the last home of each, as seen here
-  std::unordered_map<std::string, Micros> settles_;      // by id: until when
+  std::unordered_map<std::string, std::map<std::string, toolbox::Instance>>
+      instances_;                                            // the board's by service
+  std::unordered_map<std::string, std::string> service_of_;  // by id
+  std::unordered_map<std::string, std::string> sender_;      // the last home of each, as seen here
+  std::unordered_map<std::string, Micros> settles_;          // by id: until when
   std::unordered_map<std::string, std::size_t> peer_at_;
   std::map<std::pair<std::string, std::string>, Window> windows_;  // by service and peer
   std::map<std::string, std::vector<std::size_t>> draws_;  // as they come; forgotten when the peers change
   std::minstd_rand random_;
-  std::map<std::string, Micros> down_until_;               // peers that could not be reached
-  std::map<std::string, int> refusals_;                    // connections that an instance has refused
-  std::set<std::string> touched_;                          // stations with something to report
+  std::map<std::string, Micros> down_until_;  // peers that could not be reached
+  std::map<std::string, int> refusals_;       // connections that an instance has refused
+  std::set<std::string> touched_;             // stations with something to report
   toolbox::Report next_;
   OnReport tell_;
   Micros report_at_ = 0;  // 0: none is due
--- a/src/lathe/errands.cpp
+++ b/src/lathe/errands.cpp
@@ -13,12 +13,14 @@
 using net::Fault;
 using net::HttpReader;
 
-constexpr Micros kConnect = 400'000;  // on links of tens of milliseconds: a lost opening packet is tried elsewhere
-constexpr std::uint32_t kSilence = 1500;  // milliseconds in which a peer without power is noticed
+constexpr Micros kConnect =
+    400'000;  // on links of tens of milliseconds: a lost opening packet is tried elsewhere
+constexpr std::uint32_t kSilence = 1500;   // milliseconds in which a peer without power is noticed
 constexpr Micros kIdleUntold = 4'000'000;  // a kept connection whose other end said no time
-constexpr double kIdlePart = 0.7;  // of the time that was said: a request must not cross the close
+constexpr double kIdlePart = 0.7;          // of the time that was said: a request must not cross the close
 constexpr Micros kSweep = 1'000'000;
-constexpr int kExtras = 3;  // answers of earlier requests that are read away before one connection is given up
+constexpr int kExtras =
+    3;  // answers of earlier requests that are read away before one connection is given up
 constexpr net::HttpLimits kAnswerLimits{16 * 1024, 8 << 20};
 
 double number(std::string_view text) {
@@ -39,15 +41,18 @@
 
 bool goes_along(std::string_view header) {
   static constexpr std::array<std::string_view, 13> kStay = {
-      "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Expect",  "Upgrade",    "TE",
-      "Trailer",    "Proxy-Connection", kDeadline,         kTarget,      kVia,      "Retry-After"};
+      "Connection", "Content-Length",   "Transfer-Encoding", "Keep-Alive", "Expect", "Upgrade",    "TE",
+      "Trailer",    "Proxy-Connection", kDeadline,           kTarget,      kVia,     "Retry-After"};
   return std::none_of(kStay.begin(), kStay.end(), [&](auto name) { return net::same_name(name, header); });
 }
 
 class Errands::Line : public std::enable_shared_from_this<Line> {
  public:
   Line(Errands& all, toolbox::Place place)
-      : all_(all), place_(std::move(place)), socket_(all.strand_), limit_(all.strand_),
+      : all_(all),
+        place_(std::move(place)),
+        socket_(all.strand_),
+        limit_(all.strand_),
         reader_(HttpReader::Side::answers, kAnswerLimits, &all.space_) {}
 
   void connect(Micros limit) {
@@ -174,7 +179,8 @@
       if (reader_.state() == HttpReader::State::failed) return fail(broken());
       if (reader_.state() != HttpReader::State::complete) return wait_read();
       const auto id = reader_.header(kAttemptId);
-      if (id.empty() || id == errand_.id) return take_answer(reader_.keep_alive() && reader_.nothing_behind());
+      if (id.empty() || id == errand_.id)
+        return take_answer(reader_.keep_alive() && reader_.nothing_behind());
       // Guards against one answer too many of an earlier request, late, in the place of ours.
       if (++extras_ > kExtras || !reader_.keep_alive()) return fail(broken());
       reader_.next();
--- a/src/lathe/errands.h
+++ b/src/lathe/errands.h
@@ -27,7 +27,7 @@
   enum class How { no_connection, unsent, broken, answered };
   How how = How::no_connection;
   int status = 0;
-  std::string head, body;  // of an answer
+  std::string head, body;                                                     // of an answer
   bool sealed = false, not_executed = false, encoded = false, named = false;  // what its head says
   double retry_after_s = 0;
 };
@@ -40,10 +40,11 @@
   ~Errands();
 
   std::uint64_t start(Errand errand, OnEnd on_end);  // its number; the end never comes from inside the call
-  void drop(std::uint64_t number);  // its connection closes; no end is told
+  void drop(std::uint64_t number);                   // its connection closes; no end is told
   // Tries to connect; a connection that came up is kept for the first errand.
   void reach(const toolbox::Place& place, Micros limit, OnReach on_reach);
-  void forget(const toolbox::Place& place);  // idle connections there are closed: another may have the address
+  void forget(
+      const toolbox::Place& place);  // idle connections there are closed: another may have the address
   void stop();
   std::size_t open() const { return lines_.size(); }
 
--- a/src/lathe/feed.cpp
+++ b/src/lathe/feed.cpp
@@ -7,7 +7,7 @@
 namespace woadridge::lathe {
 namespace {
 
-constexpr int kAgainMs = 50;  // after the agent was not there, doubling ...
+constexpr int kAgainMs = 50;   // after the agent was not there, doubling ...
 constexpr int kDoublings = 4;  // ... so often
 
 }  // namespace
@@ -24,9 +24,15 @@
   const auto& s = desk_.settings();
   const auto& board = desk_.board();
   wire_ = toolbox::Wire::to(strand_, s.feed(), 0);
-  wire_->say(toolbox::ProxySays{
-      toolbox::Ask{s.node_name, s.zone, s.peer_link().text(), board.term, board.version, board.plan.version,
-                   s.calls_per_s(), {}, {}}});
+  wire_->say(toolbox::ProxySays{toolbox::Ask{s.node_name,
+                                             s.zone,
+                                             s.peer_link().text(),
+                                             board.term,
+                                             board.version,
+                                             board.plan.version,
+                                             s.calls_per_s(),
+                                             {},
+                                             {}}});
   wire_->start(
       [this](std::string_view bytes) {
         const auto said = toolbox::unpack<toolbox::FeedSays>(bytes);
--- a/src/lathe/feed.h
+++ b/src/lathe/feed.h
@@ -1,4 +1,5 @@
-// The link with the agent on this machine: news in, reports out. Without it the proxy serves on with what it has.
+// The link with the agent on this machine: news in, reports out. Without it the proxy serves on with what it
+// has.
 #pragma once
 
 #include <memory>
--- a/src/lathe/front.cpp
+++ b/src/lathe/front.cpp
@@ -17,14 +17,15 @@
 using net::HttpReader;
 
 constexpr Micros kSweep = 500'000;
-constexpr Micros kPeerIdle = 30'000'000;  // peers drop their own ends long before
-constexpr Micros kWayBack = 3'000;  // of an answer to the client, beside what its links take
+constexpr Micros kPeerIdle = 30'000'000;   // peers drop their own ends long before
+constexpr Micros kWayBack = 3'000;         // of an answer to the client, beside what its links take
 constexpr Micros kSlowTaker = 10'000'000;  // for an answer to be taken
-constexpr Micros kLingers = 300'000;  // after an early answer what still comes is read and dropped, so that the
-                                      // close doesn't take the answer with it
+constexpr Micros kLingers = 300'000;  // after an early answer what still comes is read and dropped, so that
+                                      // the close doesn't take the answer with it
 constexpr double kClientsPart = 0.6;  // of the descriptors; the rest is for instances and peers
-constexpr std::uint32_t kOwnDescriptors = 232;  // 200 are kept for files, the rest are listeners and the loop's
-constexpr double kPlanIn = 1.2;  // seconds: a core that has lost power is back with its plan about then
+constexpr std::uint32_t kOwnDescriptors =
+    232;                            // 200 are kept for files, the rest are listeners and the loop's
+constexpr double kPlanIn = 1.2;     // seconds: a core that has lost power is back with its plan about then
 constexpr int kPassedEnough = 100;  // the second proxy that a call is sent to keeps it
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);
 constexpr std::int64_t kLongestMs = 24 * 3600 * 1000;  // guards sums of times against nonsense
@@ -45,7 +46,9 @@
 class Front::Visitor : public Asker, public std::enable_shared_from_this<Visitor> {
  public:
   Visitor(Front& front, Door door, net::Socket socket)
-      : front_(front), door_(door), socket_(std::move(socket)),
+      : front_(front),
+        door_(door),
+        socket_(std::move(socket)),
         reader_(HttpReader::Side::requests, limits(front, door), &front.desk_.space()) {}
 
   static net::HttpLimits limits(const Front& front, Door door) {
@@ -101,7 +104,8 @@
     } else if (writing_) {
       if (stood > kSlowTaker) close();
     } else if (reader_.untouched()) {
-      const Micros most = door_ == Door::peers ? kPeerIdle : static_cast<Micros>(limits.idle_timeout_ms) * 1000;
+      const Micros most =
+          door_ == Door::peers ? kPeerIdle : static_cast<Micros>(limits.idle_timeout_ms) * 1000;
       if (stood > most) close_if_idle();
     } else if (reader_.state() == HttpReader::State::head) {
       if (stood > static_cast<Micros>(limits.header_timeout_ms) * 1000) turn_away(408);
@@ -147,7 +151,8 @@
     using State = HttpReader::State;
     if (reader_.state() == State::complete) return take_request();
     if (reader_.state() != State::failed) {
-      if (reader_.state() == State::body && !told_on_ && net::same_name(reader_.header("Expect"), "100-continue")) {
+      if (reader_.state() == State::body && !told_on_ &&
+          net::same_name(reader_.header("Expect"), "100-continue")) {
         told_on_ = true;
         Fault ignored;
         socket_.write_some(boost::asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
@@ -276,7 +281,8 @@
   void flush() {
     while (sent_ < out_.size()) {
       Fault fault;
-      const auto bytes = socket_.write_some(boost::asio::buffer(out_.data() + sent_, out_.size() - sent_), fault);
+      const auto bytes =
+          socket_.write_some(boost::asio::buffer(out_.data() + sent_, out_.size() - sent_), fault);
       if (fault == boost::asio::error::would_block) {
         auto self = shared_from_this();
         socket_.async_wait(net::Socket::wait_write, [self](Fault failed) {
--- a/src/lathe/main.cpp
+++ b/src/lathe/main.cpp
@@ -11,21 +11,27 @@
 #include "toolbox/flags.h"
 #include "toolbox/log.h"
 
-ABSL_FLAG(std::string, settings, "", "the node's settings file (TOML); else the one that WOADRIDGE_CONFIG names");
+ABSL_FLAG(std::string, settings, "",
+          "the node's settings file (TOML); else the one that WOADRIDGE_CONFIG names");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 
 namespace woadridge::lathe {
 namespace {
 
-constexpr Micros kSteeredAway = 2'600'000;  // two missed looks a second apart, and what they take: no new clients
+constexpr Micros kSteeredAway =
+    2'600'000;                         // two missed looks a second apart, and what they take: no new clients
 constexpr Micros kEndAhead = 700'000;  // before the grace ends everything is answered
 constexpr auto kLook = std::chrono::milliseconds(50);
 
 class Proxy {
  public:
   Proxy(boost::asio::io_context& loop, toolbox::Settings settings)
-      : strand_(boost::asio::make_strand(loop)), desk_(strand_, std::move(settings)), front_(strand_, desk_),
-        feed_(strand_, desk_), signals_(strand_, SIGTERM, SIGINT, SIGHUP), look_(strand_) {}
+      : strand_(boost::asio::make_strand(loop)),
+        desk_(strand_, std::move(settings)),
+        front_(strand_, desk_),
+        feed_(strand_, desk_),
+        signals_(strand_, SIGTERM, SIGINT, SIGHUP),
+        look_(strand_) {}
 
   toolbox::Result<void> open() {
     const auto& s = desk_.settings();
--- a/src/lathe/station.cpp
+++ b/src/lathe/station.cpp
@@ -11,17 +11,20 @@
 
 constexpr Micros kTick = 2'000;   // what is held is answered two of these before its time is up
 constexpr Micros kAhead = 6'000;  // an answer leaves so long before the client gives up: a busy core's delay
-constexpr Micros kStopAhead = 4'000;  // an instance stops so long before that, and says so itself
-constexpr double kEstimateWeight = 0.1;  // of a new answer's time in the estimate of its like
+constexpr Micros kStopAhead = 4'000;        // an instance stops so long before that, and says so itself
+constexpr double kEstimateWeight = 0.1;     // of a new answer's time in the estimate of its like
 constexpr Micros kMostHoldOff = 2'000'000;  // longer advice would outlast most of what refuses
-constexpr double kBudgetPart = 0.5;  // of the shared budget: homes overlap for a moment, and peers try again too
-constexpr double kPollFrom = 0.55;   // of the mean start: few are up earlier
+constexpr double kBudgetPart =
+    0.5;  // of the shared budget: homes overlap for a moment, and peers try again too
+constexpr double kPollFrom = 0.55;  // of the mean start: few are up earlier
 constexpr Micros kPollLeast = 40'000;
-constexpr double kPollPart = 0.06;   // of the mean start between two looks
+constexpr double kPollPart = 0.06;  // of the mean start between two looks
 constexpr Micros kPollConnect = 400'000;
 constexpr int kMostPolls = 120;  // one that never comes up is the holder's to see
 
-std::string lost_class(bool repeatable) { return repeatable ? "r" : "m"; }
+std::string lost_class(bool repeatable) {
+  return repeatable ? "r" : "m";
+}
 
 }  // namespace
 
@@ -41,7 +44,8 @@
   give(Start{settings_});
 }
 
-// A class for each manner of route: what differs for the decisions, so that a plan's change needs no other one.
+// A class for each manner of route: what differs for the decisions, so that a plan's change needs no other
+// one.
 std::string Station::class_for(const Call& call) {
   const std::string name = lost_class(call.repeatable) + std::to_string(call.max_tries) + "/" +
                            std::to_string(call.aim) + "/" + std::to_string(call.longest);
@@ -140,9 +144,9 @@
   if (!call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH")
     net::write_header(head, "Content-Length", std::to_string(call.body.size()));
   head += "\r\n";
-  const auto number = desk_.errands().start(std::move(errand), [this, id = action.id, attempt](ErrandEnd end) {
-    ended(id, attempt, std::move(end));
-  });
+  const auto number = desk_.errands().start(
+      std::move(errand),
+      [this, id = action.id, attempt](ErrandEnd end) { ended(id, attempt, std::move(end)); });
   open.tries.back().errand = number;
   desk_.alarms().at(call.deadline - kAhead, [this, id = action.id, attempt] { time_out(id, attempt); });
 }
@@ -261,7 +265,8 @@
     known.usable_from = desk_.usable_from(known.told);
     if (known.usable_from > desk_.now()) desk_.alarms().at(known.usable_from, [this] { tell_list(); });
     if (fresh) known.up_at = desk_.now() + static_cast<Micros>(known.told.up_in_ms) * 1000;
-    if (!known.up() && known.told.condition == toolbox::Condition::starting && !known.polling) poll(known.told.id);
+    if (!known.up() && known.told.condition == toolbox::Condition::starting && !known.polling)
+      poll(known.told.id);
   }
   std::erase_if(known_, [&](const auto& entry) {
     if (there.contains(entry.first)) return false;
--- a/src/lathe/station.h
+++ b/src/lathe/station.h
@@ -26,7 +26,7 @@
   void instances(std::vector<toolbox::Instance> all);
   // Another proxy is the home now: what has not been sent goes there.
   std::vector<CallRef> give_away();
-  void leave(Micros at);  // the process ends then
+  void leave(Micros at);                      // the process ends then
   bool fill_report(toolbox::Demand& demand);  // false: nothing to say
   bool cold() const { return usable_ == 0 && held_ > 0; }
   std::size_t open() const { return open_.size(); }
@@ -85,10 +85,10 @@
   std::map<RequestId, Open> open_;
   RequestId last_ = 0;
   std::map<WorkerId, Known> known_;
-  std::map<std::string, double> estimates_;  // microseconds that answers took, by route and size of body
+  std::map<std::string, double> estimates_;       // microseconds that answers took, by route and size of body
   std::size_t usable_ = 0, busy_ = 0, held_ = 0;  // held: of those with no attempt out
-  toolbox::Demand demand_;  // since the last report
-  std::deque<Micros> firsts_, repeats_;  // attempts inside the window of the shared budget
+  toolbox::Demand demand_;                        // since the last report
+  std::deque<Micros> firsts_, repeats_;           // attempts inside the window of the shared budget
 };
 
 }  // namespace woadridge::lathe
--- a/src/toolbox/frames.h
+++ b/src/toolbox/frames.h
@@ -61,7 +61,7 @@
 };
 
 template <class T>
-  requires std::is_arithmetic_v<T>
+requires std::is_arithmetic_v<T>
 void CEREAL_LOAD_FUNCTION_NAME(Input& in, T& value) {
   if constexpr (std::is_same_v<T, bool>) {  // other bytes than 0 and 1 would be no bool
     std::uint8_t byte = 0;
@@ -104,7 +104,8 @@
   using OnEnd = std::function<void()>;                    // once; not after close()
 
   static std::shared_ptr<Wire> accepted(Socket socket);
-  // Comes up in its own time; frames sent before wait. `silence_ms`: a peer without power ends it after so long.
+  // Comes up in its own time; frames sent before wait. `silence_ms`: a peer without power ends it after so
+  // long.
   static std::shared_ptr<Wire> to(Strand strand, const Place& place, std::uint32_t silence_ms);
   void start(OnFrame on_frame, OnEnd on_end);
   void send(std::string bytes);
@@ -149,7 +150,8 @@
   OnWire on_wire_;
 };
 
-// What a silent peer costs: sent bytes unanswered or an idle link without a sign of life for about so long end it.
+// What a silent peer costs: sent bytes unanswered or an idle link without a sign of life for about so long
+// end it.
 void watch_for_silence(Socket& socket, std::uint32_t silence_ms);
 Tcp::endpoint endpoint_of(const Place& place);
 
--- a/src/toolbox/homes.h
+++ b/src/toolbox/homes.h
@@ -1,5 +1,6 @@
-// Which proxy is a function's home. Every process that holds the same peers comes to the same answer, so nobody
-// has to be asked: rendezvous hashing, the highest draw first, the next one where that can't be reached.
+// Which proxy is a function's home. Every process that holds the same peers comes to the same answer, so
+// nobody has to be asked: rendezvous hashing, the highest draw first, the next one where that can't be
+// reached.
 #pragma once
 
 #include <string_view>
--- a/src/toolbox/log.h
+++ b/src/toolbox/log.h
@@ -16,10 +16,18 @@
 void open_log(const std::string& program, const std::string& node, Level least);
 bool logs(Level level);
 void log(Level level, std::string_view what, Fields fields = {});
-inline void debug(std::string_view what, Fields fields = {}) { if (logs(Level::debug)) log(Level::debug, what, fields); }
-inline void info(std::string_view what, Fields fields = {}) { log(Level::info, what, fields); }
-inline void warning(std::string_view what, Fields fields = {}) { log(Level::warning, what, fields); }
-inline void error(std::string_view what, Fields fields = {}) { log(Level::error, what, fields); }
+inline void debug(std::string_view what, Fields fields = {}) {
+  if (logs(Level::debug)) log(Level::debug, what, fields);
+}
+inline void info(std::string_view what, Fields fields = {}) {
+  log(Level::info, what, fields);
+}
+inline void warning(std::string_view what, Fields fields = {}) {
+  log(Level::warning, what, fields);
+}
+inline void error(std::string_view what, Fields fields = {}) {
+  log(Level::error, what, fields);
+}
 std::string in_json(std::string_view text);  // with its quotes
 
 }  // namespace woadridge::toolbox
--- a/src/toolbox/messages.h
+++ b/src/toolbox/messages.h
@@ -83,11 +83,11 @@
 };
 
 struct News {  // what has changed since the versions that were named; whole: replaces what was held
-  std::uint64_t term = 0;     // of the holder that tells; boards of two terms don't compare
-  Version board = 0;          // of the board after these changes
+  std::uint64_t term = 0;  // of the holder that tells; boards of two terms don't compare
+  Version board = 0;       // of the board after these changes
   bool whole = false;
   bool peers_told = false;
-  std::vector<Peer> peers;    // all of them, if told
+  std::vector<Peer> peers;  // all of them, if told
   std::vector<Instance> changed;
   std::vector<std::string> gone;  // ids
   bool plan_told = false;
@@ -104,20 +104,20 @@
 
 struct Demand {  // of one function at one proxy, since its last report
   std::string service;
-  std::uint32_t arrivals = 0;  // requests taken as the home, first tries
-  std::uint32_t ended = 0;     // answers of instances
-  std::uint32_t refused = 0;   // for want of room
-  std::uint32_t busy = 0;      // slots in use now
-  std::uint32_t most_busy = 0; // the most at once since the last report, held ones with them
-  std::uint32_t held = 0;      // waiting for a slot now
-  std::uint64_t work_us = 0;   // time that the answers took at their instances, summed
+  std::uint32_t arrivals = 0;   // requests taken as the home, first tries
+  std::uint32_t ended = 0;      // answers of instances
+  std::uint32_t refused = 0;    // for want of room
+  std::uint32_t busy = 0;       // slots in use now
+  std::uint32_t most_busy = 0;  // the most at once since the last report, held ones with them
+  std::uint32_t held = 0;       // waiting for a slot now
+  std::uint64_t work_us = 0;    // time that the answers took at their instances, summed
   template <class A>
   void serialize(A& a) {
     a(service, arrivals, ended, refused, busy, most_busy, held, work_us);
   }
 };
 
-struct Report {  // a proxy's word, through its agent, to the holder
+struct Report {                      // a proxy's word, through its agent, to the holder
   std::vector<Demand> demand;        // of functions with any
   std::vector<std::string> reached;  // instances told as starting that have taken a connection
   std::vector<std::string> lost;     // instances that refuse connections though they had taken some
@@ -131,10 +131,10 @@
 struct Ask {  // of an agent: answered by News when there is some, or empty News after a while
   std::string name, zone, proxy;  // the node, and where its proxy takes what peers send on; empty: it's down
   std::uint64_t term = 0;
-  Version board = 0, plan = 0;  // that are held
+  Version board = 0, plan = 0;    // that are held
   std::uint32_t calls_per_s = 0;  // that its machine bears as the home of one function; 0: not told
-  // On a new link, which may be to a new holder: the instances whose home it was told to be, by id, and a sum of
-  // each bucket of instances that it holds, so that only those which differ are told again.
+  // On a new link, which may be to a new holder: the instances whose home it was told to be, by id, and a sum
+  // of each bucket of instances that it holds, so that only those which differ are told again.
   std::vector<std::string> owned;
   std::vector<std::uint64_t> sums;
   template <class A>
@@ -143,7 +143,7 @@
   }
 };
 
-struct Elsewhere {  // asked one that doesn't hold the duty
+struct Elsewhere {     // asked one that doesn't hold the duty
   std::string holder;  // its internal address; empty: not known now
   template <class A>
   void serialize(A& a) {
@@ -158,7 +158,8 @@
 
 inline constexpr std::size_t kBuckets = 128;
 std::size_t bucket_of(const std::string& id);
-std::uint64_t sum_of(const Instance& instance);  // of all that counts for long: not the time that a start has left
+std::uint64_t sum_of(
+    const Instance& instance);  // of all that counts for long: not the time that a start has left
 // What turns one plan into the other, as part of news.
 void put_change(News& news, const Plan& from, const Plan& to);
 
@@ -166,7 +167,7 @@
 class Board {
  public:
   bool apply(const News& news);  // false: no word on peers and instances was taken
-  News whole() const;  // as told to one that holds nothing
+  News whole() const;            // as told to one that holds nothing
   std::vector<std::uint64_t> sums() const;
   std::uint64_t term = 0;
   Version version = 0;
--- a/src/toolbox/settings.cpp
+++ b/src/toolbox/settings.cpp
@@ -29,7 +29,8 @@
       return;
     }
     const auto value = at.value<double>();
-    if (!value || !(*value >= least && *value <= most)) return fault(senseless(std::string(key), "out of range"));
+    if (!value || !(*value >= least && *value <= most))
+      return fault(senseless(std::string(key), "out of range"));
     to = static_cast<T>(*value);
   }
 
@@ -110,7 +111,8 @@
 
 Result<Place> read_place(const std::string& text) {
   const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return Fault{Trouble::senseless, "'" + text + "' is no address with a port"};
+  if (colon == std::string::npos)
+    return Fault{Trouble::senseless, "'" + text + "' is no address with a port"};
   Place place{text.substr(0, colon), 0};
   const char* end = text.data() + text.size();
   const auto [stop, bad] = std::from_chars(text.data() + colon + 1, end, place.port);
@@ -122,9 +124,9 @@
 }
 
 std::uint32_t Settings::calls_per_s() const {
-  // A call passes a home's link once from its peer and once from the instance, each way, in some 1.5 kB with its
-  // heads; it takes some 0.3 ms of a core. A third of each is left to one function: the same machine has clients
-  // of its own, and bursts come.
+  // A call passes a home's link once from its peer and once from the instance, each way, in some 1.5 kB with
+  // its heads; it takes some 0.3 ms of a core. A third of each is left to one function: the same machine has
+  // clients of its own, and bursts come.
   constexpr double kShare = 1.0 / 3, kBytes = 1500, kSeconds = 0.3e-3;
   const double by_link = kShare * link_mbps * 1e6 / 8 / kBytes;
   const double by_core = kShare * cpu_fraction / kSeconds;
@@ -160,7 +162,8 @@
   in.flag("quorum-member", s.quorum_member);
   in.number("heartbeat-ms", s.heartbeat_ms, 1, kMost);
   if (const auto* zones = table["zones"].as_table())
-    for (const auto& [zone, region] : *zones) s.zones[std::string(zone.str())] = region.value_or(std::string());
+    for (const auto& [zone, region] : *zones)
+      s.zones[std::string(zone.str())] = region.value_or(std::string());
   in.place("bind-addrs.front-http", s.front);
   in.place("bind-addrs.readiness", s.readiness);
   in.place("bind-addrs.control-plane", s.control);
--- a/tests/platform/bellows/board_test.cpp
+++ b/tests/platform/bellows/board_test.cpp
@@ -1,8 +1,8 @@
+#include "anvil/board.h"
+
 #include <algorithm>
 #include <random>
 
-#include "anvil/board.h"
-
 // Last: its macros for new and delete break the standard library's headers.
 #include <CppUTest/TestHarness.h>
 
@@ -10,7 +10,8 @@
 
 TEST_GROUP(Board){};
 
-// A new holder's board differs in a few instances: those who hold the earlier one's come to the same, for little.
+// A new holder's board differs in a few instances: those who hold the earlier one's come to the same, for
+// little.
 TEST(Board, ANewTermTellsOnlyTheBucketsThatDiffer) {
   std::mt19937_64 random(3);
   anvil::Board before, after;
@@ -22,9 +23,9 @@
     instance.id = "i-" + std::to_string(n);
     instance.service = "f" + std::to_string(n % 50);
     instance.condition = toolbox::Condition::ready;
-    if (n % 200 != 7) before.change(instance);   // three that only the new one knows,
-    if (n % 150 == 9) instance.home = "p";       // four that differ,
-    if (n % 300 != 11) after.change(instance);   // two that are gone
+    if (n % 200 != 7) before.change(instance);  // three that only the new one knows,
+    if (n % 150 == 9) instance.home = "p";      // four that differ,
+    if (n % 300 != 11) after.change(instance);  // two that are gone
   }
   toolbox::Board agent;
   agent.apply(before.since(0, 0));
--- a/tests/platform/lathe/front_test.cpp
+++ b/tests/platform/lathe/front_test.cpp
@@ -1,12 +1,13 @@
-// The proxy between a played client and played instances, on loopback: no time passes but for what is asked of
-// the loop, and each run of it is bounded.
+// The proxy between a played client and played instances, on loopback: no time passes but for what is asked
+// of the loop, and each run of it is bounded.
+#include "lathe/front.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
 
-#include "lathe/front.h"
 #include "toolbox/homes.h"
 
 using namespace woadridge;
@@ -24,7 +25,7 @@
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
   std::vector<std::string> asked;
-  std::deque<std::string> answers;  // {id} stands for the request's own; empty: it closes
+  std::deque<std::string> answers;             // {id} stands for the request's own; empty: it closes
   std::deque<std::string>* shared = &answers;  // of several: whoever is asked takes the next
 
  private:
@@ -106,7 +107,8 @@
     front.reset();
     desk.reset();
   }
-  void plan_and(std::vector<toolbox::Instance> instances, std::vector<toolbox::Peer> peers = {{"me", "a", ""}}) {
+  void plan_and(std::vector<toolbox::Instance> instances,
+                std::vector<toolbox::Peer> peers = {{"me", "a", ""}}) {
     toolbox::News news;
     news.term = news.board = 1;
     news.whole = news.peers_told = news.plan_told = true;
@@ -222,7 +224,8 @@
   STRCMP_CONTAINS("X-Woadridge-Via: fn;read;r;2;400;4000;1", peer.asked[0].c_str());
 }
 
-// Guards against calls that wait for instances which another sends to by now: they were lost with the process.
+// Guards against calls that wait for instances which another sends to by now: they were lost with the
+// process.
 TEST(Front, ACallHeldAtAHomeThatLeavesGoesToTheNextHome) {
   Played other(loop);
   other.answers = {kGood};
--- a/tests/platform/lathe/toolbox_test.cpp
+++ b/tests/platform/lathe/toolbox_test.cpp
@@ -133,16 +133,15 @@
   }
 }
 
-TEST_GROUP(Homes) {
-  std::vector<toolbox::Peer> peers(int n) {
-    std::vector<toolbox::Peer> all;
-    for (int i = 0; i < n; ++i) all.push_back({"edge-" + std::to_string(i), "z", ""});
-    return all;
-  }
-  std::string home(const std::string& service, const std::vector<toolbox::Peer>& all) {
-    return all[toolbox::homes(service, all).front()].name;
-  }
-};
+TEST_GROUP(Homes){std::vector<toolbox::Peer> peers(int n){std::vector<toolbox::Peer> all;
+for (int i = 0; i < n; ++i) all.push_back({"edge-" + std::to_string(i), "z", ""});
+return all;
+}
+std::string home(const std::string& service, const std::vector<toolbox::Peer>& all) {
+  return all[toolbox::homes(service, all).front()].name;
+}
+}
+;
 
 TEST(Homes, DoNotDependOnTheOrderAndMoveOnlyWithTheirOwnPeer) {
   auto all = peers(9);
