--- a/src/toolbox/frames.h
+++ b/src/toolbox/frames.h
@@ -51,6 +51,7 @@
   explicit Input(std::string_view bytes) : InputArchive(this), left_(bytes) {}
   void loadBinary(void* to, std::size_t size) {
     if (size > left_.size()) throw cereal::Exception("cut short");
+    if (size == 0) return;  // of nothing there may be no place either
     std::memcpy(to, left_.data(), size);
     left_.remove_prefix(size);
   }
