--- a/lab/platform/trial.cpp
+++ b/lab/platform/trial.cpp
@@ -178,7 +178,8 @@
     Reply reply;
     std::string attempt;  // of the last try
     int tries = 0;
-    long long first_ms = 0, last_ms = 0;  // since the first try began, and of the last
+    long long first_ms = 0;  // since the first try began
+    std::string before;      // what became of the tries before the last
   };
 
   // As a client does: with a new attempt id for each try, and only where the answer allows one.
@@ -196,10 +197,13 @@
       question.headers = {{kAttemptId, call.attempt}, {kDeadlineMs, std::to_string(kDeadlineSent)}};
       const Moment now = steady_clock::now();
       call.reply = ask(call_.layout.front(edge), question, kServed);
-      call.last_ms = ms_since(now);
       call.first_ms = ms_since(began);
       const bool again = call.reply.status == 503 || call.reply.status == 429;
       if (!again || stop_ || Millis(call.first_ms) >= kServed) return call;
+      char refusal[96];
+      std::snprintf(refusal, sizeof refusal, "; %d after %lld ms, to come back in %.2f s", call.reply.status,
+                    ms_since(now), call.reply.retry_after_s);
+      call.before += refusal;
       std::this_thread::sleep_for(
           std::max(kLook, Millis(static_cast<long long>(call.reply.retry_after_s * 1000))));
     }
@@ -211,12 +215,9 @@
                              std::to_string(edge + 1) + " for " + route.service;
     if (call.reply.status != 200)
       return fault(line + ": status " + std::to_string(call.reply.status) + " after " +
-                   std::to_string(call.first_ms) + " ms, " + std::to_string(call.tries) +
-                   " tries: " + call.reply.body);
-    std::cout << line << ": " << call.first_ms << " ms";
-    if (call.tries > 1)
-      std::cout << " with " << call.tries << " tries, the last took " << call.last_ms << " ms";
-    std::cout << "\n" << std::flush;
+                   std::to_string(call.first_ms) + " ms, " + std::to_string(call.tries) + " tries" +
+                   call.before + ": " + call.reply.body);
+    std::cout << line << ": " << call.first_ms << " ms" << call.before << "\n" << std::flush;
     const Json body = Json::parse(call.reply.body, nullptr, false);
     if (!body.is_object() || body.value("function", "") != route.service ||
         body.value("path", "") != path(route))
