--- a/src/hoist/planted.h
+++ b/src/hoist/planted.h
@@ -10,9 +10,9 @@
   before_sync,       // a link passes on before its disk has it
   sealed_accepts,    // a link that was sealed goes on accepting
   seal_forgotten,    // a seal isn't on disk when it is told
+  unsealed_tells,    // a link tells its state and isn't sealed
   old_tail_answers,  // a tail answers without asking whether its view still holds
   no_stage,          // a view is decided before its links hold what it begins with
-  oldest_state,      // a view begins with the oldest state that was told
   blank_link,        // a machine counts as a link though its disk is another
   short_chain,       // a view may be shorter than the losses that must be borne
   any_version,       // a lower version replaces a higher one
--- a/src/hoist/seat.cpp
+++ b/src/hoist/seat.cpp
@@ -138,8 +138,9 @@
 // What follows from what the disk has now.
 void Seat::advance() {
   std::erase_if(seals_, [&](const Asked& a) {
-    const bool forgets = planted(Planted::seal_forgotten) && now_.sealed;
-    if (safe_.view != a.number || !(safe_.sealed || forgets)) return safe_.view > a.number;
+    const bool tells =
+        safe_.sealed || planted(Planted::seal_forgotten) || planted(Planted::unsealed_tells);
+    if (safe_.view != a.number || !tells) return safe_.view > a.number;
     Sealed answer{a.round, true, safe_.mark, {}};
     if (safe_value_ && !(a.mark == safe_.mark)) answer.value = *safe_value_;
     hands_.post(a.from, std::move(answer));
@@ -220,12 +221,9 @@
   }
   std::erase_if(seals_, [&](const Asked& a) { return a.from == from; });
   seals_.push_back({from, word.round, word.of.number, word.have});
-  if (now_.sealed && safe_.sealed && safe_.view == now_.view) return advance();
-  if (!now_.sealed) {
-    now_.sealed = true;
-    if (!planted(Planted::seal_forgotten)) return keep();
-    advance();
-  }
+  if (!std::exchange(now_.sealed, !planted(Planted::unsealed_tells)) && !planted(Planted::seal_forgotten))
+    return keep();
+  advance();
 }
 
 void Seat::hear(const std::string& from, Stage& word) {
--- a/tests/platform/vise/world.cpp
+++ b/tests/platform/vise/world.cpp
@@ -68,6 +68,8 @@
   node.ending = false;
   node.frozen = false;
   node.version = 0;
+  if (const auto mark = node.disk.find("state"); mark != node.disk.end() && mark->second == "voter")
+    node.untold = false;  // it had been told everything, and the disk has it
   node.told_by.clear();
   node.held_back.clear();
   node.writing.clear();
@@ -92,7 +94,7 @@
   stop(n);
   nodes[n].disk.clear();
   nodes[n].bootstrap = false;
-  nodes[n].wiped = true;
+  nodes[n].wiped = nodes[n].untold = true;
   nodes[n].told_by.clear();
 }
 
@@ -107,6 +109,8 @@
 void World::take(std::size_t n) {
   Node& node = nodes[n];
   if (!node.member) return;
+  if (node.told_by.size() > nodes.size() / 2 && node.member->standing() == Member::Standing::voter)
+    node.untold = false;
   if (whole(n)) node.wiped = false;
   Out out = node.member->take();
   for (const auto& d : out.duty) {
@@ -148,7 +152,7 @@
                      (std::holds_alternative<Accepted>(word) && std::get<Accepted>(word).done) ||
                      (std::holds_alternative<Granted>(word) && std::get<Granted>(word).given) ||
                      (std::holds_alternative<Recovered>(word) && std::get<Recovered>(word).given);
-  if (votes && nodes[from].wiped && nodes[from].member->standing() != Member::Standing::voter)
+  if (votes && nodes[from].untold && nodes[from].told_by.size() <= nodes.size() / 2)
     fail("a member without its disk votes");
   const std::size_t n = index(to);
   const auto own = delay ? delay(nodes[from].ip, to, word) : std::nullopt;
--- a/tests/platform/vise/world.h
+++ b/tests/platform/vise/world.h
@@ -43,7 +43,8 @@
          full_disk = false, ending = false;
     double drift = 1;
     std::vector<std::function<void()>> held_back;  // while it is frozen
-    bool wiped = false;                            // and hasn't been told everything yet
+    bool wiped = false;                            // and hasn't been taken into the chain yet
+    bool untold = false;                           // and hasn't been told the registers yet
     std::set<std::string> told_by;
     bool acts = false;  // on the duty
     std::uint64_t version = 0;
