Lab: core machines in simulated time, with schedules that are shortened

Reason: the simulated network was a part of the tests of vise. It drew its troubles while it ran, so a run that broke a rule could not be played again without some of them, and nobody but the tests could play it.

Weighed: recording what a run drew and playing that back. It would repeat a run but not shorten it, as a run that has one trouble less draws everything after it anew. So troubles and operators' calls are data, drawn before the run, and each line, disk and clock draws from dice of its own: an entry less leaves the rest nearly as it was.

Change: lab/platform/sim is a library of the lab. The tests of vise link it, built once more with planted faults; no twin remains. New troubles: power loss that leaves a part of what was being written, pauses, one-way cuts of some lines, disks that stall, other seeds, other rates of clocks, all power and `losses` disks lost with an acknowledgement. At the end of each run the calm is judged: a change, the duty handed on and taken over, one more disk lost, each within a bound. Shortening, weights and threads are shared with lab/chaos.

--- a/lab/platform/command.h
+++ b/lab/platform/command.h
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <atomic>
 
+#include "lab/platform/sim/chain.h"
 #include "lab/platform/trial.h"
 
 namespace woadridge::lab::platform {
@@ -15,7 +16,8 @@
   int run(const std::atomic<bool>& stop);
 
  private:
-  CLI::App* platform_;
+  CLI::App *platform_, *up_;
+  sim::ChainCall chain_;
   TrialCall call_;
   std::string folder_, programs_;
   bool debug_ = false;
--- /dev/null
+++ b/lab/platform/sim/world.cpp
@@ -0,0 +1,535 @@
+#include "lab/platform/sim/world.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "toolbox/frames.h"
+
+namespace woadridge::lab::sim {
+
+using vise::Bytes;
+using vise::Finished;
+using vise::Member;
+using vise::Rows;
+using vise::Word;
+
+namespace {
+
+constexpr Micros kLimit = 900'000;   // of an operator's call
+constexpr double kMostDrift = 0.02;  // to either side, so clocks run apart by four in a hundred
+
+enum Use : std::uint64_t { kNode = 100, kWay, kLife };
+
+// How a member is made and asked, and what its answers mean: all that depends on how the members hold the
+// configuration stands here, down to taken_in().
+vise::Options options_of(const std::string& ip, std::size_t n, std::size_t /*losses*/) {
+  vise::Options options;
+  options.self = {ip, ip + ":80", "z" + std::to_string(n % 3)};
+  return options;
+}
+std::uint64_t ask_put(Member& member, const std::string& value, std::uint64_t version, Micros now) {
+  const auto higher = [value, version](const std::string* old) {
+    const bool keeps =
+        old != nullptr && version_in(*old) >= version && !vise::planted(vise::Planted::any_version);
+    return std::optional(keeps ? *old : value);
+  };
+  return member.change(vise::kConfiguration, higher, kLimit, now);
+}
+std::uint64_t ask_read(Member& member, Micros now) {
+  return member.read(vise::kConfiguration, kLimit, now);
+}
+std::uint64_t view_of(const Member&) {
+  return 0;  // there are none as long as it is held by a majority
+}
+bool is_vote(const Word& word) {
+  const auto* promise = std::get_if<vise::Promise>(&word);
+  const auto* accepted = std::get_if<vise::Accepted>(&word);
+  const auto* granted = std::get_if<vise::Granted>(&word);
+  const auto* recovered = std::get_if<vise::Recovered>(&word);
+  return std::holds_alternative<vise::Holds>(word) || (promise != nullptr && promise->given) ||
+         (accepted != nullptr && accepted->done) || (granted != nullptr && granted->given) ||
+         (recovered != nullptr && recovered->given);
+}
+
+bool tells_all(const Word& word) {  // that it holds itself, to one that lost its disk
+  const auto* told = std::get_if<vise::Recovered>(&word);
+  return told != nullptr && told->given;
+}
+
+bool named(std::uint32_t machines, std::size_t n) {
+  return (machines >> n & 1U) != 0;
+}
+
+}  // namespace
+
+// A machine that lost its disk counts as lost until this is true.
+bool World::taken_in(const Node& node) const {
+  return node.member && node.member->standing() == Member::Standing::voter &&
+         (node.was_taken_in || node.told_by.size() > nodes.size() / 2);
+}
+
+std::string configuration(std::uint64_t version, std::uint64_t salt) {
+  return std::to_string(version) + ":" + std::to_string(salt) +
+         std::string(version % 7 == 0 ? 3000 : 30, 'x');
+}
+
+std::uint64_t version_in(const std::string& value) {
+  return std::stoull(value);
+}
+
+World::World(std::size_t members, std::uint64_t seed, Lines lines, std::size_t losses)
+    : seed_(seed), lines_(lines), losses_(losses) {
+  nodes.resize(members);
+  cut_until_.resize(members * members);
+  for (std::size_t i = 0; i < members * members; ++i) ways_.emplace_back(seed, kWay, i);
+  for (std::size_t i = 0; i < members; ++i) {
+    Node& node = nodes[i];
+    node.ip = "10.0.0." + std::to_string(i + 1);
+    by_ip_[node.ip] = i;
+    node.dice = Dice(seed, kNode, i);
+    node.rate = 1 + (node.dice.share() * 2 - 1) * kMostDrift;
+    node.clock_since = now;
+    node.clock_from = now;
+    // One that founds sees the same three as the others.
+    for (std::size_t s = 0; s < std::min<std::size_t>(3, members); ++s)
+      node.seeds.push_back("10.0.0." + std::to_string(s + 1));
+  }
+  for (std::size_t i = 0; i < members; ++i) start(i);
+}
+
+void World::fail(Rule rule, const std::string& what) {
+  if (!broken_) broken_ = Broken{rule, what + " at " + std::to_string(now / 1000) + " ms"};
+}
+
+Micros World::local(std::size_t n) const {
+  const Node& node = nodes[n];
+  return node.clock_from + static_cast<Micros>(static_cast<double>(now - node.clock_since) * node.rate);
+}
+
+void World::set_rate(std::size_t n, double rate) {
+  nodes[n].clock_from = local(n);
+  nodes[n].clock_since = now;
+  nodes[n].rate = rate;
+  if (nodes[n].member) arm(n);
+}
+
+void World::at(Micros when, std::function<void()> run) {
+  events_.push_back({std::max(when, now), ++order_, std::move(run)});
+  std::push_heap(events_.begin(), events_.end());
+}
+
+void World::pass(Micros span) {
+  const Micros end = now + span;
+  while (!broken_ && !events_.empty() && events_.front().at <= end) {
+    std::pop_heap(events_.begin(), events_.end());
+    const Event event = std::move(events_.back());
+    events_.pop_back();
+    now = event.at;
+    event.run();
+    digest_ = (digest_ ^ static_cast<std::uint64_t>(now) ^ (event.order << 40)) * 0x9e3779b97f4a7c15ULL;
+    check_holders();
+  }
+  if (!broken_) now = end;
+}
+
+// In that life of the process, or never; when it is frozen, after it wakes.
+void World::to_node(std::size_t n, std::uint64_t life, std::function<void()> run) {
+  Node& node = nodes[n];
+  if (!node.member || node.life != life) return;
+  if (node.frozen) {
+    node.held_back.push_back([this, n, life, run = std::move(run)] { to_node(n, life, run); });
+    return;
+  }
+  run();
+  take(n);
+}
+
+std::vector<std::string> World::any_seeds(Dice& dice) const {
+  std::vector<std::string> seeds;
+  for (const auto& any : nodes) seeds.push_back(any.ip);
+  for (std::size_t i = seeds.size(); i > 1; --i) std::swap(seeds[i - 1], seeds[dice.below(i)]);
+  seeds.resize(std::min<std::size_t>(3, seeds.size()));
+  return seeds;
+}
+
+void World::start(std::size_t n) {
+  Node& node = nodes[n];
+  vise::Options options = options_of(node.ip, n, losses_);
+  if (!node.bootstrap) node.seeds = any_seeds(node.dice);
+  options.seeds = node.seeds;
+  options.bootstrap = node.bootstrap;
+  ++node.life;
+  node.acts = false;
+  node.ending = false;
+  node.frozen = false;
+  node.version = 0;
+  const auto mark = node.disk.find("state");
+  node.was_taken_in = mark != node.disk.end() && mark->second == "voter";
+  node.told_by.clear();
+  node.held_back.clear();
+  node.writing.clear();
+  node.in_write = 0;
+  node.member.emplace(options, node.disk, false, Dice(seed_, kLife + n, node.life)(), local(n));
+  node.member->tick(local(n));
+  take(n);
+}
+
+void World::start_later(std::size_t n, Micros after) {
+  at(now + after, [this, n, life = nodes[n].life] {
+    if (!nodes[n].member && nodes[n].life == life) start(n);
+  });
+}
+
+void World::stop(std::size_t n, bool power) {
+  Node& node = nodes[n];
+  if (!node.member) return;
+  // Of what was under way power loss leaves some, in its order; else all of it is there or nothing.
+  const std::size_t through = power                   ? node.dice.below(node.in_write + 1)
+                              : node.dice.chance(0.5) ? node.in_write
+                                                      : 0;
+  for (std::size_t i = 0; i < through; ++i)
+    for (auto& [name, value] : node.writing[i].second) node.disk[name] = value;
+  node.member.reset();
+  node.acts = false;
+  if (power) {  // the machine's clock begins anew
+    node.clock_from = 1'000'000 + node.dice.below<Micros>(60'000'000);
+    node.clock_since = now;
+  }
+}
+
+void World::wipe(std::size_t n) {
+  stop(n);
+  nodes[n].disk.clear();
+  nodes[n].bootstrap = false;
+  nodes[n].wiped = true;
+  nodes[n].told_by.clear();
+}
+
+void World::leave(std::size_t n) {
+  nodes[n].ending = true;
+  nodes[n].member->leave(local(n));
+  take(n);
+}
+
+void World::take(std::size_t n) {
+  Node& node = nodes[n];
+  if (!node.member) return;
+  if (node.wiped && taken_in(node)) node.wiped = false;
+  vise::Out out = node.member->take();
+  for (const auto& d : out.duty) {
+    node.acts = d.held;
+    if (!d.held) continue;
+    if (d.term <= last_term_) fail(Rule::terms_grow, "a term does not grow");
+    last_term_ = std::max(last_term_, d.term);
+  }
+  for (auto& [token, rows] : out.writes) write(n, token, std::move(rows));
+  for (auto& [to, word] : out.letters) post(n, to, std::move(word));
+  for (const auto& [name, value] : out.learned) {
+    if (name != vise::kConfiguration) continue;
+    value_seen(value);
+    if (version_in(*value) <= node.version) fail(Rule::newest, "a member's configuration goes back");
+    node.version = version_in(*value);
+  }
+  if (const auto& list = node.member->members(); !list.empty()) {
+    if (list_.empty()) list_ = list;
+    else if (list_ != list) fail(Rule::one_list, "two lists of members");
+  }
+  views_ = std::max(views_, view_of(*node.member));
+  for (const auto& f : out.finished) {
+    const auto found = waiting_.find(f.ticket);
+    if (found == waiting_.end()) continue;
+    const auto then = std::move(found->second);
+    waiting_.erase(found);
+    then(f);
+  }
+  arm(n);
+}
+
+void World::arm(std::size_t n) {
+  Node& node = nodes[n];
+  const std::uint64_t wake = ++node.wake, life = node.life;
+  const Micros left = std::clamp<Micros>(node.member->due() - local(n), 0, 10'000'000);
+  const auto due = now + static_cast<Micros>(static_cast<double>(left) / node.rate) + 1;
+  at(std::max(due, now + 500), [this, n, wake, life] {
+    if (nodes[n].wake != wake) return;
+    to_node(n, life, [this, n] { nodes[n].member->tick(local(n)); });
+  });
+}
+
+void World::post(std::size_t from, const std::string& to, Word word) {
+  if (is_vote(word) && nodes[from].wiped && nodes[from].told_by.size() <= nodes.size() / 2)
+    fail(Rule::disk_counts, "a member without its disk votes");
+  const std::size_t n = index(to);
+  const auto own = delay ? delay(nodes[from].ip, to, word) : std::nullopt;
+  if (lets && !lets(nodes[from].ip, to, word)) return;
+  Dice& dice = ways_[from * nodes.size() + n];
+  const bool is_cut = now < cut_until(from, n);
+  if (is_cut && !dice.chance(0.05)) return;
+  Micros takes = 300 + dice.below<Micros>(2000);
+  if (!calm_) {
+    if (dice.chance(lines_.lost)) return;
+    if (dice.chance(lines_.late)) takes += dice.below(lines_.late_by);
+    if (dice.chance(lines_.very_late) || is_cut)
+      takes += dice.below(lines_.very_late_by);  // held up by a cut
+  }
+  std::string bytes = toolbox::pack(vise::Letter{nodes[from].ip, std::move(word)});
+  at(now + own.value_or(takes), [this, n, bytes = std::move(bytes)] {
+    if (!nodes[n].member) return;
+    to_node(n, nodes[n].life, [this, n, bytes] {
+      auto letter = toolbox::unpack<vise::Letter>(bytes);
+      Node& node = nodes[n];
+      if (tells_all(letter->word)) node.told_by.insert(letter->from);
+      node.member->heard(letter->from, std::move(letter->word), local(n));
+    });
+  });
+}
+
+void World::write(std::size_t n, std::uint64_t token, Rows rows) {
+  nodes[n].writing.emplace_back(token, std::move(rows));
+  write_next(n);
+}
+
+// What waits goes together, as the store does it.
+void World::write_next(std::size_t n) {
+  Node& node = nodes[n];
+  if (node.in_write > 0 || node.writing.empty()) return;
+  node.in_write = node.writing.size();
+  const Micros takes = now < node.slow_until ? 100'000 + node.dice.below<Micros>(1'500'000)
+                                             : 300 + node.dice.below<Micros>(5'000);
+  at(now + takes, [this, n, life = node.life] { written(n, life); });
+}
+
+void World::written(std::size_t n, std::uint64_t life) {
+  Node& node = nodes[n];
+  if (!node.member || node.life != life) return;
+  if (now < node.stalled_until) {
+    at(node.stalled_until, [this, n, life] { written(n, life); });
+    return;
+  }
+  const auto end = node.writing.begin() + static_cast<std::ptrdiff_t>(std::exchange(node.in_write, 0));
+  const std::vector<std::pair<std::uint64_t, Rows>> batch(std::make_move_iterator(node.writing.begin()),
+                                                          std::make_move_iterator(end));
+  node.writing.erase(node.writing.begin(), end);
+  const bool full = now < node.full_until;
+  const bool good = !full && (now >= node.bad_until || node.dice.chance(0.2));
+  const bool there = good || (!full && node.dice.chance(0.3));  // of one that failed nobody knows
+  for (const auto& [token, rows] : batch) {
+    if (there)
+      for (const auto& [name, value] : rows) node.disk[name] = value;
+    to_node(n, life, [this, n, token = token, good] { nodes[n].member->persisted(token, good, local(n)); });
+  }
+  write_next(n);
+}
+
+void World::value_seen(const Bytes& value) {
+  if (!value) return;
+  if (!sent_.contains(*value)) fail(Rule::valid, "a value that nobody sent");
+  const auto [at_version, added] = by_version_.emplace(version_in(*value), *value);
+  if (!added && at_version->second != *value) fail(Rule::valid, "two values of one version");
+}
+
+void World::put(std::size_t n, std::uint64_t version) {
+  put(n, version, [](bool) {});
+}
+
+void World::put(std::size_t n, std::uint64_t version, std::function<void(bool good)> then) {
+  Node& node = nodes[n];
+  if (!node.member || node.frozen) return;
+  const std::string wanted = configuration(version, ++puts_);
+  sent_.insert(wanted);
+  highest_sent_ = std::max(highest_sent_, version);
+  const auto ticket = ask_put(*node.member, wanted, version, local(n));
+  waiting_[ticket] = [this, version, least = acknowledged_, then = std::move(then)](const Finished& f) {
+    if (f.good) {
+      if (!f.value) return fail(Rule::valid, "a change without a value");
+      value_seen(f.value);
+      if (version_in(*f.value) < std::max(version, least))
+        fail(Rule::newest, "a change is acknowledged under a lower version");
+      acknowledged_ = std::max(acknowledged_, version_in(*f.value));
+      ++good_;
+      if (after_ack_) at(now, [this, entry = *std::exchange(after_ack_, std::nullopt)] { strike(entry); });
+    }
+    then(f.good);
+  };
+  take(n);
+}
+
+void World::read(std::size_t n) {
+  Node& node = nodes[n];
+  if (!node.member || node.frozen) return;
+  const auto ticket = ask_read(*node.member, local(n));
+  waiting_[ticket] = [this, least = acknowledged_](const Finished& f) {
+    if (!f.good) return;
+    value_seen(f.value);
+    if ((f.value ? version_in(*f.value) : 0) < least) fail(Rule::kept, "an acknowledged version is lost");
+  };
+  take(n);
+}
+
+std::optional<std::size_t> World::holder() const {
+  for (std::size_t i = 0; i < nodes.size(); ++i)
+    if (nodes[i].member && nodes[i].member->holds(local(i))) return i;
+  return std::nullopt;
+}
+
+void World::check_holders() {
+  std::size_t holders = 0;
+  for (std::size_t i = 0; i < nodes.size(); ++i)
+    if (nodes[i].member && nodes[i].member->holds(local(i)) && !nodes[i].member->members().empty()) ++holders;
+  if (holders > 1) fail(Rule::one_holder, "two holders at once");
+}
+
+// ---- troubles
+
+std::size_t World::disks_lost() const {
+  return static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), [](auto& x) { return x.wiped; }));
+}
+
+bool World::out_of_service(const Node& node) const {
+  return !node.member || node.frozen || node.wiped || node.ending || now < node.slow_until ||
+         now < node.stalled_until || now < node.full_until || now < node.bad_until;
+}
+
+void World::freeze(std::size_t n, Micros span) {
+  nodes[n].frozen = true;
+  at(now + span, [this, n, life = nodes[n].life] {
+    Node& node = nodes[n];
+    if (!node.member || node.life != life) return;
+    node.frozen = false;
+    auto held_back = std::exchange(node.held_back, {});
+    if (node.dice.chance(0.5)) std::shuffle(held_back.begin(), held_back.end(), node.dice);
+    for (const auto& run : held_back) run();
+    if (node.member) take(n);
+  });
+}
+
+void World::cut(std::uint32_t from, std::uint32_t to, Micros span) {
+  for (std::size_t a = 0; a < nodes.size(); ++a)
+    for (std::size_t b = 0; b < nodes.size(); ++b)
+      if (a != b && named(from, a) && named(to, b)) cut_until(a, b) = std::max(cut_until(a, b), now + span);
+}
+
+// Everybody loses power, and some their disks.
+void World::strike(const Entry& e) {
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    if (named(e.others, i) && (nodes[i].wiped || disks_lost() < losses_)) wipe(i);
+    else stop(i);
+    start_later(i, 50'000 + nodes[i].dice.below(e.span));
+  }
+}
+
+bool World::apply(const Entry& e) {
+  if (e.kind == Kind::put) return put(e.a, e.number), true;
+  if (e.kind == Kind::read) return read(e.a), true;
+  const std::uint32_t all = (1U << nodes.size()) - 1, self = 1U << e.a;
+  const bool founded =
+      std::any_of(nodes.begin(), nodes.end(), [](auto& x) { return x.disk.contains("members"); });
+  switch (e.kind) {
+    case Kind::herd:
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        stop(i, false);
+        start_later(i, 50'000 + nodes[i].dice.below(e.span));
+      }
+      return true;
+    case Kind::split:
+      cut(e.others, all & ~e.others, e.span);
+      cut(all & ~e.others, e.others, e.span);
+      return true;
+    case Kind::seeds: {
+      Dice dice(e.number);
+      for (auto& node : nodes) {
+        if (node.bootstrap && !founded) continue;
+        node.seeds = any_seeds(dice);
+        if (node.member) node.member->seeds(node.seeds);
+      }
+      return true;
+    }
+    case Kind::drift:
+      set_rate(e.a, 1 + (Dice(e.number).share() * 2 - 1) * kMostDrift);
+      return true;
+    case Kind::wipe_after_ack:
+      after_ack_ = e;
+      return true;
+    default:
+      break;
+  }
+  // One thing at a time for a machine, and a majority in service most of the time: else little happens at
+  // all.
+  Node& node = nodes[e.a];
+  const auto out =
+      std::count_if(nodes.begin(), nodes.end(), [this](const auto& x) { return out_of_service(x); });
+  if (out_of_service(node) || static_cast<std::size_t>(out) >= (nodes.size() - 1) / 2) return false;
+  switch (e.kind) {
+    case Kind::kill:
+    case Kind::power:
+      stop(e.a, e.kind == Kind::power);
+      break;
+    case Kind::wipe:
+      if (!founded || disks_lost() >= losses_) return false;
+      wipe(e.a);
+      break;
+    case Kind::end:
+      leave(e.a);
+      at(now + 100'000 + static_cast<Micros>(e.number % 800'000), [this, e, life = node.life] {
+        if (nodes[e.a].life != life) return;
+        stop(e.a, false);
+        start_later(e.a, e.span);
+      });
+      return true;
+    case Kind::freeze:
+    case Kind::pause:
+      freeze(e.a, e.span);
+      return true;
+    case Kind::cut:
+      cut(self, e.others, e.span);
+      cut(e.others, self, e.span);
+      return true;
+    case Kind::half_cut:
+      if (e.number % 2 == 0) cut(self, e.others, e.span);
+      else cut(e.others, self, e.span);
+      return true;
+    case Kind::slow_disk:
+      node.slow_until = now + e.span;
+      return true;
+    case Kind::stalled_disk:
+      node.stalled_until = now + e.span;
+      return true;
+    case Kind::full_disk:
+      node.full_until = now + e.span;
+      return true;
+    case Kind::bad_disk:
+      node.bad_until = now + e.span;
+      return true;
+    default:
+      return false;
+  }
+  start_later(e.a, e.span);
+  return true;
+}
+
+void World::calm() {
+  calm_ = true;
+  after_ack_.reset();
+  std::fill(cut_until_.begin(), cut_until_.end(), 0);
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    Node& node = nodes[i];
+    node.slow_until = node.stalled_until = node.full_until = node.bad_until = 0;
+    if (node.frozen || node.ending) stop(i, false);
+    if (!node.member) start(i);
+  }
+}
+
+std::string World::lacking() const {
+  const auto held = holder();
+  if (!held || !nodes[*held].acts) return "nobody holds the duty";
+  for (const auto& node : nodes) {
+    if (!node.member || node.member->standing() != Member::Standing::voter) return node.ip + " is no voter";
+    if (node.wiped) return node.ip + " votes without having been told what its disk held";
+    if (node.version < acknowledged_) return node.ip + " does not know the newest configuration";
+    const auto known = node.member->duty_known();
+    if (!known || known->holder != nodes[*held].ip) return node.ip + " does not know the holder";
+  }
+  return {};
+}
+
+}  // namespace woadridge::lab::sim
--- /dev/null
+++ b/lab/platform/sim/world.h
@@ -0,0 +1,152 @@
+// The core machines' own code on a simulated network with simulated disks and clocks, and the rules that hold
+// after every step. Nothing here sleeps or opens a socket.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lab/platform/sim/dice.h"
+#include "lab/platform/sim/schedule.h"
+#include "vise/member.h"
+
+namespace woadridge::lab::sim {
+
+enum class Rule {
+  kept,        // nothing acknowledged is lost
+  newest,      // none older comes into force
+  valid,       // none that nobody sent, no two of one version
+  one_holder,  // of the duty
+  terms_grow,
+  disk_counts,  // who lost its disk votes only once it was told what the disk held
+  one_list,     // of members
+  // In calm times.
+  acknowledged,  // a change, in time
+  held,          // the duty, again in time
+  whole,         // everybody, in time
+};
+constexpr int kRules = static_cast<int>(Rule::whole) + 1;
+
+constexpr Micros kForever = 1'000'000'000'000;
+
+struct Broken {
+  Rule rule = Rule::kept;
+  std::string what;
+};
+
+class World {
+ public:
+  World(std::size_t members, std::uint64_t seed, Lines lines = {}, std::size_t losses = 0);
+
+  struct Node {
+    std::string ip;
+    std::optional<vise::Member> member;
+    vise::Rows disk;
+    std::vector<std::pair<std::uint64_t, vise::Rows>> writing;
+    std::size_t in_write = 0;  // of them, the first so many
+    std::uint64_t life = 0;    // of the process
+    std::uint64_t wake = 0;
+    bool bootstrap = true, frozen = false, ending = false;
+    Micros slow_until = 0, stalled_until = 0, full_until = 0, bad_until = 0;  // the disk
+    double rate = 1;  // of the clock, that showed clock_from at clock_since
+    Micros clock_since = 0, clock_from = 0;
+    std::vector<std::string> seeds;
+    std::vector<std::function<void()>> held_back;  // while it is frozen
+    bool wiped = false;                            // and not taken in again
+    bool was_taken_in = false;                     // its disk says so
+    std::set<std::string> told_by;
+    bool acts = false;  // on the duty
+    std::uint64_t version = 0;
+    Dice dice{0};
+  };
+  std::vector<Node> nodes;
+  Micros now = 1'000'000;
+  std::function<bool(const std::string& from, const std::string& to, const vise::Word& word)>
+      lets;  // false: it is lost
+  std::function<std::optional<Micros>(const std::string& from, const std::string& to, const vise::Word& word)>
+      delay;
+
+  void pass(Micros span);
+  bool apply(const Entry& entry);    // false: it isn't possible now, or more would be lost than must be borne
+  void trouble() { calm_ = false; }  // from now on letters are lost and late
+  void calm();                       // from now on: everything comes back, and no letter is lost or late
+  std::string lacking() const;       // for everybody to be whole; empty: nothing
+
+  void start(std::size_t n);
+  void stop(std::size_t n, bool power = true);  // what was not synced may be gone
+  void wipe(std::size_t n);
+  void leave(std::size_t n);
+  void put(std::size_t n, std::uint64_t version);
+  void put(std::size_t n, std::uint64_t version, std::function<void(bool good)> then);
+  void read(std::size_t n);
+
+  const std::optional<Broken>& fault() const { return broken_; }
+  std::string broken() const { return broken_ ? broken_->what : std::string(); }
+  void fail(Rule rule, const std::string& what);
+  std::optional<std::size_t> holder() const;
+  Micros local(std::size_t n) const;
+  std::uint64_t acknowledged() const { return acknowledged_; }  // the highest version
+  std::uint64_t highest_sent() const { return highest_sent_; }
+  std::size_t changes_good() const { return good_; }
+  std::uint64_t views() const { return views_; }
+  std::uint64_t terms() const { return last_term_; }
+  std::uint64_t digest() const { return digest_; }  // of all that has happened, in its order
+
+ private:
+  struct Event {
+    Micros at;
+    std::uint64_t order;
+    std::function<void()> run;
+    bool operator<(const Event& e) const { return at != e.at ? at > e.at : order > e.order; }
+  };
+
+  void at(Micros when, std::function<void()> run);
+  void to_node(std::size_t n, std::uint64_t life, std::function<void()> run);
+  void take(std::size_t n);
+  void post(std::size_t from, const std::string& to, vise::Word word);
+  void write(std::size_t n, std::uint64_t token, vise::Rows rows);
+  void write_next(std::size_t n);
+  void written(std::size_t n, std::uint64_t life);
+  void arm(std::size_t n);
+  void set_rate(std::size_t n, double rate);
+  void check_holders();
+  void value_seen(const vise::Bytes& value);
+  bool taken_in(const Node& node) const;
+  bool out_of_service(const Node& node) const;
+  std::size_t disks_lost() const;
+  std::vector<std::string> any_seeds(Dice& dice) const;
+  void start_later(std::size_t n, Micros after);
+  void freeze(std::size_t n, Micros span);
+  void cut(std::uint32_t from, std::uint32_t to, Micros span);
+  void strike(const Entry& entry);
+  std::size_t index(const std::string& ip) const { return by_ip_.at(ip); }
+  Micros& cut_until(std::size_t from, std::size_t to) { return cut_until_[from * nodes.size() + to]; }
+
+  std::uint64_t seed_;
+  Lines lines_;
+  std::size_t losses_;
+  std::vector<Event> events_;  // a heap
+  std::uint64_t order_ = 0, digest_ = 0;
+  std::unordered_map<std::string, std::size_t> by_ip_;
+  std::vector<Dice> ways_;  // from each to each
+  std::vector<Micros> cut_until_;
+  std::map<std::uint64_t, std::function<void(const vise::Finished&)>> waiting_;
+  std::map<std::uint64_t, std::string> by_version_;
+  std::set<std::string> sent_;
+  vise::Machines list_;
+  std::uint64_t acknowledged_ = 0, highest_sent_ = 0, last_term_ = 0, views_ = 0, puts_ = 0;
+  std::size_t good_ = 0;
+  std::optional<Entry> after_ack_;
+  bool calm_ = true;
+  std::optional<Broken> broken_;
+};
+
+std::string configuration(std::uint64_t version, std::uint64_t salt);
+std::uint64_t version_in(const std::string& value);
+
+}  // namespace woadridge::lab::sim
