--- a/src/hoist/mender.cpp
+++ b/src/hoist/mender.cpp
@@ -222,10 +222,7 @@
   const Sealed* best = nullptr;
   for (const auto& [ip, told] : told_) {
     if (!told.given) continue;
-    const bool newer =
-        best == nullptr || (planted(Planted::oldest_state) ? told.mark.version < best->mark.version
-                                                           : told.mark.version > best->mark.version);
-    if (newer) best = &told;
+    if (best == nullptr || told.mark.version > best->mark.version) best = &told;
   }
   if (best == nullptr) return;
   next_.base = base_ = best->mark;
--- a/src/hoist/seat.cpp
+++ b/src/hoist/seat.cpp
@@ -138,8 +138,7 @@
 // What follows from what the disk has now.
 void Seat::advance() {
   std::erase_if(seals_, [&](const Asked& a) {
-    const bool tells =
-        safe_.sealed || planted(Planted::seal_forgotten) || planted(Planted::unsealed_tells);
+    const bool tells = safe_.sealed || planted(Planted::seal_forgotten) || planted(Planted::unsealed_tells);
     if (safe_.view != a.number || !tells) return safe_.view > a.number;
     Sealed answer{a.round, true, safe_.mark, {}};
     if (safe_value_ && !(a.mark == safe_.mark)) answer.value = *safe_value_;
--- a/tests/platform/vise/scenes_test.cpp
+++ b/tests/platform/vise/scenes_test.cpp
@@ -1,10 +1,12 @@
 // Single scenes, each played as it was thought out.
 #include <CppUTest/TestHarness.h>
 
+#include "lab/platform/sim/world.h"
 #include "toolbox/frames.h"
-#include "world.h"
 
 using namespace woadridge::vise;
+using woadridge::lab::sim::kForever;
+using woadridge::lab::sim::World;
 
 namespace {
 
@@ -42,8 +44,7 @@
   World world(5, 11);
   world.pass(4 * kSecond);
   const std::size_t first = *world.holder();
-  world.nodes[first].member->leave(
-      static_cast<Micros>(static_cast<double>(world.now) * world.nodes[first].drift));
+  world.leave(first);
   const Micros took =
       until(world, kSecond, [&] { return world.holder().has_value() && *world.holder() != first; });
   CHECK(took < 150 * kMilli);
@@ -65,7 +66,7 @@
   for (const std::size_t slow : {0U, 1U, 2U}) {
     World world(3, 13 + slow);
     world.pass(4 * kSecond);
-    world.nodes[slow].stalled_disk = true;
+    world.nodes[slow].stalled_until = kForever;
     std::uint64_t version = 0;
     const auto put = [&] {
       bool good = false;
@@ -75,8 +76,8 @@
     };
     CHECK(until(world, 5 * kSecond, [&] { return put() < 200 * kMilli; }) < 3 * kSecond);
     for (int i = 0; i < 20; ++i) CHECK(put() < 200 * kMilli);
-    world.nodes[slow].stalled_disk = false;
-    CHECK(until(world, 4 * kSecond, [&] { return world.whole(slow); }) < 3'500 * kMilli);
+    world.nodes[slow].stalled_until = 0;
+    CHECK(until(world, 4 * kSecond, [&] { return world.taken_in(world.nodes[slow]); }) < 3'500 * kMilli);
     STRCMP_EQUAL("", world.broken().c_str());
   }
 }
@@ -85,14 +86,14 @@
   World world(3, 14);
   world.pass(4 * kSecond);
   world.stop(1);
-  world.nodes[2].full_disk = true;
+  world.nodes[2].full_until = kForever;
   std::optional<bool> told;
   for (int i = 0; i < 6; ++i) {
     world.put(0, 5, [&told](bool good) { told = good; });
     world.pass(950 * kMilli);
     CHECK(told.has_value() && !*told);
   }
-  world.nodes[2].full_disk = false;
+  world.nodes[2].full_until = 0;
   world.pass(2 * kSecond);
   world.put(0, 5, [&told](bool good) { told = good; });
   world.pass(950 * kMilli);
