A call that may go no further is refused at once where it is not at home

Cause: Desk::take put a call that had been passed as often as it may into this proxy's own station, home or not. A station without instances holds it until its deadline: 503 after 3.98 s for about one first call of twelve on loopback, where boards differ for a moment and its second proxy passes it back.

Others were ruled out: the passing stops after one more hop, so it is no loop; and owners_changed, which had its own answer for such a call, sees it only when the peers change.

Change: Desk::take alone decides. What may go no further is answered 503 with Retry-After 0.05 unless this is its home; for the first proxy the same holds after three passes. owners_changed hands its calls to it. What may have run gets 502, no promise: that is noted with the call now, so that it isn't forgotten when the call goes from the station to a peer or back.

--- a/src/lathe/call.h
+++ b/src/lathe/call.h
@@ -35,9 +35,10 @@
   Micros aim = 0;      // the span inside which an answer earns its full worth
   Micros longest = 0;  // the route's deadline
   Micros came = 0;
-  Micros deadline = 0;  // the answer must be on its way by then
-  int passed_on = 0;    // times that it was sent to a peer
-  int hops = 0;         // proxies that it has passed before
+  Micros deadline = 0;        // the answer must be on its way by then
+  int passed_on = 0;          // times that it was sent to a peer
+  int hops = 0;               // proxies that it has passed before
+  bool may_have_run = false;  // so no answer to it may be a promise
   std::weak_ptr<Asker> asker;
 };
 
--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -155,23 +155,27 @@
   for (auto& [service, at] : stations_) {
     show(service);
     if (is_home(service)) continue;
-    for (auto& call : at->give_away()) {
-      // One that has come to its second proxy goes no further: its first one tries again.
-      if (call->from_peer && call->passed_on >= kMostPassedAgain)
-        answer(call, {503, {}, {}, kHomeMoved, true});
-      else take(std::move(call));
-    }
+    for (auto& call : at->give_away()) take(std::move(call));
   }
   for (const auto& service : waiting) requeue(service);
 }
 
+// What may have run gets no promise.
+void Desk::refuse(const CallRef& call, double retry_after_s) {
+  if (call->may_have_run) answer(call, {502, {}, {}, 0, true});
+  else answer(call, {503, {}, {}, retry_after_s, true});
+}
+
 void Desk::take(CallRef call) {
+  const bool here = is_home(call->service);
   // From a peer: this is its home, or was a moment ago.
   const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
-  if (call->passed_on < most && (!call->from_peer || !is_home(call->service))) {
+  if (call->passed_on < most && !(call->from_peer && here)) {
     if (const toolbox::Peer* peer = home(call->service); peer != nullptr)
       return queue(std::move(call), *peer);
   }
+  // It may go no further: held here it would wait until its deadline for instances that another sends to.
+  if (!here) return refuse(call, kHomeMoved);
   station(call->service).take(std::move(call));
 }
 
@@ -189,15 +193,14 @@
   // What can't have its turn in time is told at once.
   const double turn = at.usual / at.size;
   const auto wait = static_cast<Micros>(turn * static_cast<double>(at.waiting.size() + 1) + at.usual);
-  if (now() + wait > call->deadline)
-    return answer(call, {503, {}, {}, std::max(0.1, static_cast<double>(wait) / 2e6), true});
+  if (now() + wait > call->deadline) return refuse(call, std::max(0.1, static_cast<double>(wait) / 2e6));
   at.waiting.push_back(call);
   alarms_.at(call->deadline - kHopAhead, [this, weak = std::weak_ptr(call), name = peer.name] {
     const auto late = weak.lock();
     if (!late) return;
     const auto found = windows_.find({late->service, name});
     if (found == windows_.end() || std::erase(found->second.waiting, late) == 0) return;
-    answer(late, {503, {}, {}, 0.2, true});
+    refuse(late, 0.2);
   });
 }
 
@@ -241,7 +244,7 @@
 
 void Desk::pass_on(CallRef call, const toolbox::Peer& peer) {
   const auto place = toolbox::read_place(peer.address);
-  if (!place) return answer(call, {503, {}, {}, 0.2, true});
+  if (!place) return refuse(call, 0.2);
   ++call->passed_on;
   ++window(peer.name, call->service).out;
   const std::string via = call->service + ";" + call->route + ";" + (call->repeatable ? "r" : "m") + ";" +
@@ -281,6 +284,7 @@
     alarms_.at(now() + down_for + 1000, [this] { owners_changed(); });
   }
   const bool ran = end.how == How::broken;
+  call->may_have_run |= ran;
   if (ran && !call->repeatable) return answer(call, {502, {}, {}, 0, true});
   if (ran && call->passed_on >= static_cast<int>(std::max<std::uint32_t>(1, call->max_tries)))
     return answer(call, {502, {}, {}, 0, true});
--- a/src/lathe/station.cpp
+++ b/src/lathe/station.cpp
@@ -139,7 +139,8 @@
   auto& open = open_.at(action.id);
   ++demand_.refused;
   const bool late = open.out > 0 && open.call && desk_.now() >= open.call->deadline - kAhead - 2 * kTick;
-  if (late || open.may_have_run) answered(open, {late ? 504 : 502, {}, {}, 0, true});  // no promise
+  if (late || (open.call && open.call->may_have_run))
+    answered(open, {late ? 504 : 502, {}, {}, 0, true});  // no promise
   else answered(open, {503, {}, {}, std::max(0.05, static_cast<double>(action.hold_off) / 1e6), true});
   forget_if_over(action.id);
 }
@@ -221,7 +222,7 @@
   one.errand = 0;
   if (--open.out == 0 && open.call) ++held_;
   --busy_;
-  open.may_have_run |= result == Result::broken || result == Result::timed_out;
+  if (open.call) open.call->may_have_run |= result == Result::broken || result == Result::timed_out;
   const WorkerId instance = one.instance;
   give(Outcome{id, attempt, instance, result, finished, {}});
   forget_if_over(id);
@@ -308,7 +309,7 @@
   std::vector<CallRef> calls;
   std::vector<RequestId> ids;
   for (auto& [id, open] : open_)
-    if (open.call && open.out == 0 && (open.call->repeatable || !open.may_have_run)) ids.push_back(id);
+    if (open.call && open.out == 0 && (open.call->repeatable || !open.call->may_have_run)) ids.push_back(id);
   for (const auto id : ids) {
     calls.push_back(std::exchange(open_.at(id).call, nullptr));
     --held_;
--- a/src/lathe/station.h
+++ b/src/lathe/station.h
@@ -44,7 +44,6 @@
     std::string estimate_key;
     std::vector<Try> tries;
     std::size_t out = 0;
-    bool may_have_run = false;
   };
   struct Known {
     toolbox::Instance told;
--- a/tests/platform/lathe/front_test.cpp
+++ b/tests/platform/lathe/front_test.cpp
@@ -90,15 +90,20 @@
   net::Strand strand{boost::asio::make_strand(loop)};
   std::unique_ptr<lathe::Desk> desk;
   std::unique_ptr<lathe::Front> front;
-  std::uint16_t port = 0;
+  std::uint16_t port = 0, peers_port = 0;
 
   void setup() override {
     desk = std::make_unique<lathe::Desk>(strand, settings());
     front = std::make_unique<lathe::Front>(strand, *desk);
+    port = opened(lathe::Door::clients);
+    peers_port = opened(lathe::Door::peers);
+  }
+  std::uint16_t opened(lathe::Door door) {
     tcp::acceptor probe(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    port = probe.local_endpoint().port();
+    const auto free = probe.local_endpoint().port();
     probe.close();
-    CHECK(front->open(lathe::Door::clients, {"127.0.0.1", port}).has_value());
+    CHECK(front->open(door, {"127.0.0.1", free}).has_value());
+    return free;
   }
   void teardown() override {
     front->stop();
@@ -124,10 +129,18 @@
     return {id, "fn", played.address(), "a", "m1", 1, toolbox::Condition::ready, 0, ""};
   }
   std::string ask(const std::string& what, const std::string& id = "77") {
+    return said(port, what, id, "");
+  }
+  std::string ask_as_peer(const std::string& what, int hops) {
+    return said(peers_port, what, "77",
+                "X-Woadridge-Via: fn;read;r;2;400;4000;" + std::to_string(hops) + "\r\n");
+  }
+  std::string said(std::uint16_t to, const std::string& what, const std::string& id,
+                   const std::string& more) {
     const std::string text = what + " HTTP/1.1\r\nHost: h.example\r\nX-Woadridge-Attempt-Id: " + id +
-                             "\r\nX-Woadridge-Deadline-Ms: 2000\r\nX-Own: kept\r\n\r\n";
+                             "\r\nX-Woadridge-Deadline-Ms: 2000\r\nX-Own: kept\r\n" + more + "\r\n";
     tcp::socket client(loop);
-    client.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    client.connect({boost::asio::ip::make_address("127.0.0.1"), to});
     boost::asio::write(client, boost::asio::buffer(text));
     std::string answer;
     bool done = false;
@@ -248,3 +261,45 @@
   plan_and({at(one, "i-1")}, {{"other", "a", gone}});
   STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
 }
+
+// Guards against calls that wait until their deadline at a proxy that no instance is given to.
+TEST(Front, ACallThatMayGoNoFurtherIsRefusedAtOnceWhereItIsNotAtHome) {
+  Played other(loop);
+  plan_and({}, {{"other", "a", other.address()}});
+  const auto began = std::chrono::steady_clock::now();
+  const auto answer = ask_as_peer("GET /r/x", 2);
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(500));
+  STRCMP_CONTAINS("HTTP/1.1 503", answer.c_str());
+  STRCMP_CONTAINS("Retry-After: 0.0", answer.c_str());
+  LONGS_EQUAL(0, other.asked.size());
+}
+
+TEST(Front, ACallThatMayGoNoFurtherIsServedAtItsHome) {
+  Played one(loop);
+  one.answers = {kGood};
+  plan_and({at(one, "i-1")});
+  STRCMP_CONTAINS("HTTP/1.1 200", ask_as_peer("GET /r/x", 2).c_str());
+}
+
+TEST(Front, ACallThatHasMetThreePeersWhichAreGoneIsRefusedAtOnce) {
+  std::vector<toolbox::Peer> gone;
+  for (const char* name : {"p", "q", "r", "s", "t"}) {
+    tcp::acceptor closed(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    gone.push_back({name, "a", "127.0.0.1:" + std::to_string(closed.local_endpoint().port())});
+  }
+  plan_and({}, gone);
+  const auto began = std::chrono::steady_clock::now();
+  const auto answer = ask("POST /w/x");
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(500));
+  STRCMP_CONTAINS("HTTP/1.1 503", answer.c_str());
+  STRCMP_CONTAINS("Retry-After: 0.0", answer.c_str());
+}
+
+// A repeatable one may be sent again, but what it has begun elsewhere may still run.
+TEST(Front, WhatMayHaveRunGetsNoPromiseWhereItIsNotAtHome) {
+  Played other(loop);
+  other.answers = {""};
+  plan_and({}, {{"other", "a", other.address()}, {"other2", "a", other.address()}});
+  STRCMP_CONTAINS("HTTP/1.1 502", ask_as_peer("GET /r/x", 1).c_str());
+  LONGS_EQUAL(1, other.asked.size());
+}
