What is held at a proxy goes on, too, when only the instances have other homes

Cause: held calls were given on when the peers changed. Where the last instance of a home went, or moved to another home, with the peers as they were, what it held stayed until its deadline: the same wait as of a call that may go no further, by another way.

Change: Desk::give_on, for all functions when the peers change and for those that the news touches.

--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -152,14 +152,19 @@
   std::set<std::string> waiting;
   for (const auto& [key, at] : windows_)
     if (!at.waiting.empty()) waiting.insert(key.first);
-  for (auto& [service, at] : stations_) {
+  for (const auto& [service, at] : stations_) {
     show(service);
-    if (is_home(service)) continue;
-    for (auto& call : at->give_away()) take(std::move(call));
+    give_on(service);
   }
   for (const auto& service : waiting) requeue(service);
 }
 
+// What is held for a function that has its home elsewhere by now waits for instances that another sends to.
+void Desk::give_on(const std::string& service) {
+  if (is_home(service)) return;
+  for (auto& call : stations_.at(service)->give_away()) take(std::move(call));
+}
+
 // What may have run gets no promise.
 void Desk::refuse(const CallRef& call, double retry_after_s) {
   if (call->may_have_run) answer(call, {502, {}, {}, 0, true});
@@ -333,6 +338,8 @@
     else if (is_home(service)) station(service);
   }
   if (peers_changed) owners_changed();
+  for (const auto& service : touched)
+    if (stations_.contains(service)) give_on(service);
   for (const auto& service : touched) requeue(service);
 }
 
--- a/src/lathe/desk.h
+++ b/src/lathe/desk.h
@@ -56,6 +56,7 @@
   std::vector<Group> groups(const std::string& service);
   bool is_down(const std::string& peer);
   void owners_changed();
+  void give_on(const std::string& service);
   void refuse(const CallRef& call, double retry_after_s);
   Station& station(const std::string& service);
   // Of one function at one other home: how much may be out there at once, and what waits for that. Guards a
--- a/tests/platform/lathe/front_test.cpp
+++ b/tests/platform/lathe/front_test.cpp
@@ -303,3 +303,28 @@
   STRCMP_CONTAINS("HTTP/1.1 502", ask_as_peer("GET /r/x", 1).c_str());
   LONGS_EQUAL(1, other.asked.size());
 }
+
+// Guards against the same where no peer has come or gone: only the instances have other homes now.
+TEST(Front, ACallHeldAtAProxyWhoseLastInstanceHasGoneGoesToTheNewHome) {
+  Played other(loop);
+  other.answers = {kGood};
+  tcp::acceptor mine(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const std::vector<toolbox::Peer> peers = {{"me", "a", ""}, {"other", "a", other.address()}};
+  const auto mine_at = "127.0.0.1:" + std::to_string(mine.local_endpoint().port());
+  mine.close();
+  plan_and({{"i-1", "fn", mine_at, "a", "m1", 1, toolbox::Condition::starting, 9000, "me"}}, peers);
+  boost::asio::post(strand, [this] {
+    desk->alarms().at(desk->now() + 20'000, [this] {
+      toolbox::News news;
+      news.term = 1;
+      news.board = 2;
+      news.gone = {"i-1"};
+      news.changed = {{"i-2", "fn", "127.0.0.1:9", "a", "m1", 1, toolbox::Condition::ready, 0, "other"}};
+      desk->told(news);
+    });
+  });
+  const auto began = std::chrono::steady_clock::now();
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(500));
+  LONGS_EQUAL(1, other.asked.size());
+}
