An instance whose last home has left the board settles before the next one sends

Cause: a proxy that is told to end is off the board within milliseconds, while its calls run on. The new homes saw no such peer and sent at once: in a rolling restart of all fronts (pwani, 630 calls a second) most of the calls that instances turned away came 3 to 130 ms after the home had moved.

Change: settle_after says how long, in one place. Where it isn't known whether the last home is dead or was told to end, 0.4 s, as for an unknown one; one that refused connections has nothing out: none.

What is left are calls that take longer than 0.4 s.

--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -25,7 +25,7 @@
 constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
 constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
 constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
-constexpr Micros kSettleUnknown = 400'000;  // where it isn't known who sent before, if anybody
+constexpr Micros kSettleUnknown = 400'000;  // where it isn't known whether anybody still sends
 constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
 
@@ -130,6 +130,13 @@
   return *found;
 }
 
+Micros Desk::settle_after(const std::string& before) {
+  if (is_down(before)) return 0;  // what it had out has ended with it
+  if (peer_at_.contains(before)) return kSettle;
+  // It may have been told to end, and then it still has calls out, or have died.
+  return !before.empty() || board_.peers.size() > 1 ? kSettleUnknown : 0;
+}
+
 // Guards against two homes that send to one instance at once: what an earlier one, which is still there, has
 // out at it ends first.
 void Desk::show(const std::string& service) {
@@ -138,10 +145,8 @@
     const auto* peer = owner(instance);
     const auto& name = peer == nullptr ? settings_.node_name : peer->name;
     auto& before = sender_[id];
-    const bool there =
-        before.empty() ? board_.peers.size() > 1 : peer_at_.contains(before) && !is_down(before);
-    if (peer == nullptr && before != name && there && instance.condition == toolbox::Condition::ready)
-      settles_[id] = now() + (before.empty() ? kSettleUnknown : kSettle);
+    const bool moved = peer == nullptr && before != name && instance.condition == toolbox::Condition::ready;
+    if (moved) settles_[id] = now() + settle_after(before);
     before = name;
     if (peer == nullptr) mine.push_back(instance);
   }
--- a/src/lathe/desk.h
+++ b/src/lathe/desk.h
@@ -77,6 +77,7 @@
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
   void show(const std::string& service);
+  Micros settle_after(const std::string& before);  // of an instance that this home had before
   void report_in(Micros span);
   void report();
 
--- a/tests/platform/lathe/front_test.cpp
+++ b/tests/platform/lathe/front_test.cpp
@@ -328,3 +328,29 @@
   CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(500));
   LONGS_EQUAL(1, other.asked.size());
 }
+
+// Guards against two senders: a home that was told to end is off the board at once, its calls end later.
+TEST(Front, AnInstanceSettlesWhereItsLastHomeHasLeftTheBoard) {
+  Played one(loop);
+  one.answers = {kGood, kGood};
+  std::string third = "third";  // one that draws lower than this proxy
+  while (toolbox::homes("fn", {{"me", "a", ""}, {third, "a", ""}}).front() != 0) third += "x";
+  auto instance = at(one, "i-1");
+  instance.home = "me";
+  plan_and({instance}, {{"me", "a", ""}, {third, "a", ""}, {"leaves", "a", ""}});
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
+  toolbox::News news;
+  news.term = 1;
+  news.board = 2;
+  instance.home = "leaves";
+  news.changed = {instance};
+  desk->told(news);
+  news.board = 3;
+  news.changed = {};
+  news.peers_told = true;
+  news.peers = {{"me", "a", ""}, {third, "a", ""}};
+  desk->told(news);
+  const auto began = std::chrono::steady_clock::now();
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x", "78").c_str());
+  CHECK(std::chrono::steady_clock::now() - began > std::chrono::milliseconds(200));
+}
