--- a/src/lathe/desk.h
+++ b/src/lathe/desk.h
@@ -56,6 +56,8 @@
   std::vector<Group> groups(const std::string& service);
   bool is_down(const std::string& peer);
   void owners_changed();
+  void give_on(const std::string& service);
+  void refuse(const CallRef& call, double retry_after_s);
   Station& station(const std::string& service);
   // Of one function at one other home: how much may be out there at once, and what waits for that. Guards a
   // home with a thin link against more calls than it can read: there they would stand in front of its news
@@ -75,6 +77,7 @@
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
   void show(const std::string& service);
+  Micros settle_after(const std::string& before);  // of an instance that this home had before
   void report_in(Micros span);
   void report();
 
