--- a/src/lathe/desk.cpp
+++ b/src/lathe/desk.cpp
@@ -25,7 +25,7 @@
 constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
 constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
 constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
-constexpr Micros kSettleUnknown = 400'000;  // where it isn't known who sent before, if anybody
+constexpr Micros kSettleUnknown = 400'000;  // where it isn't known whether anybody still sends
 constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
 constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
 
@@ -130,6 +130,13 @@
   return *found;
 }
 
+Micros Desk::settle_after(const std::string& before) {
+  if (is_down(before)) return 0;  // what it had out has ended with it
+  if (peer_at_.contains(before)) return kSettle;
+  // It may have been told to end, and then it still has calls out, or have died.
+  return !before.empty() || board_.peers.size() > 1 ? kSettleUnknown : 0;
+}
+
 // Guards against two homes that send to one instance at once: what an earlier one, which is still there, has
 // out at it ends first.
 void Desk::show(const std::string& service) {
@@ -138,10 +145,8 @@
     const auto* peer = owner(instance);
     const auto& name = peer == nullptr ? settings_.node_name : peer->name;
     auto& before = sender_[id];
-    const bool there =
-        before.empty() ? board_.peers.size() > 1 : peer_at_.contains(before) && !is_down(before);
-    if (peer == nullptr && before != name && there && instance.condition == toolbox::Condition::ready)
-      settles_[id] = now() + (before.empty() ? kSettleUnknown : kSettle);
+    const bool moved = peer == nullptr && before != name && instance.condition == toolbox::Condition::ready;
+    if (moved) settles_[id] = now() + settle_after(before);
     before = name;
     if (peer == nullptr) mine.push_back(instance);
   }
@@ -152,26 +157,35 @@
   std::set<std::string> waiting;
   for (const auto& [key, at] : windows_)
     if (!at.waiting.empty()) waiting.insert(key.first);
-  for (auto& [service, at] : stations_) {
+  for (const auto& [service, at] : stations_) {
     show(service);
-    if (is_home(service)) continue;
-    for (auto& call : at->give_away()) {
-      // One that has come to its second proxy goes no further: its first one tries again.
-      if (call->from_peer && call->passed_on >= kMostPassedAgain)
-        answer(call, {503, {}, {}, kHomeMoved, true});
-      else take(std::move(call));
-    }
+    give_on(service);
   }
   for (const auto& service : waiting) requeue(service);
 }
 
+// What is held for a function that has its home elsewhere by now waits for instances that another sends to.
+void Desk::give_on(const std::string& service) {
+  if (is_home(service)) return;
+  for (auto& call : stations_.at(service)->give_away()) take(std::move(call));
+}
+
+// What may have run gets no promise.
+void Desk::refuse(const CallRef& call, double retry_after_s) {
+  if (call->may_have_run) answer(call, {502, {}, {}, 0, true});
+  else answer(call, {503, {}, {}, retry_after_s, true});
+}
+
 void Desk::take(CallRef call) {
+  const bool here = is_home(call->service);
   // From a peer: this is its home, or was a moment ago.
   const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
-  if (call->passed_on < most && (!call->from_peer || !is_home(call->service))) {
+  if (call->passed_on < most && !(call->from_peer && here)) {
     if (const toolbox::Peer* peer = home(call->service); peer != nullptr)
       return queue(std::move(call), *peer);
   }
+  // It may go no further: held here it would wait until its deadline for instances that another sends to.
+  if (!here) return refuse(call, kHomeMoved);
   station(call->service).take(std::move(call));
 }
 
@@ -189,15 +203,14 @@
   // What can't have its turn in time is told at once.
   const double turn = at.usual / at.size;
   const auto wait = static_cast<Micros>(turn * static_cast<double>(at.waiting.size() + 1) + at.usual);
-  if (now() + wait > call->deadline)
-    return answer(call, {503, {}, {}, std::max(0.1, static_cast<double>(wait) / 2e6), true});
+  if (now() + wait > call->deadline) return refuse(call, std::max(0.1, static_cast<double>(wait) / 2e6));
   at.waiting.push_back(call);
   alarms_.at(call->deadline - kHopAhead, [this, weak = std::weak_ptr(call), name = peer.name] {
     const auto late = weak.lock();
     if (!late) return;
     const auto found = windows_.find({late->service, name});
     if (found == windows_.end() || std::erase(found->second.waiting, late) == 0) return;
-    answer(late, {503, {}, {}, 0.2, true});
+    refuse(late, 0.2);
   });
 }
 
@@ -241,7 +254,7 @@
 
 void Desk::pass_on(CallRef call, const toolbox::Peer& peer) {
   const auto place = toolbox::read_place(peer.address);
-  if (!place) return answer(call, {503, {}, {}, 0.2, true});
+  if (!place) return refuse(call, 0.2);
   ++call->passed_on;
   ++window(peer.name, call->service).out;
   const std::string via = call->service + ";" + call->route + ";" + (call->repeatable ? "r" : "m") + ";" +
@@ -281,6 +294,7 @@
     alarms_.at(now() + down_for + 1000, [this] { owners_changed(); });
   }
   const bool ran = end.how == How::broken;
+  call->may_have_run |= ran;
   if (ran && !call->repeatable) return answer(call, {502, {}, {}, 0, true});
   if (ran && call->passed_on >= static_cast<int>(std::max<std::uint32_t>(1, call->max_tries)))
     return answer(call, {502, {}, {}, 0, true});
@@ -329,6 +343,8 @@
     else if (is_home(service)) station(service);
   }
   if (peers_changed) owners_changed();
+  for (const auto& service : touched)
+    if (stations_.contains(service)) give_on(service);
   for (const auto& service : touched) requeue(service);
 }
 
