--- a/src/hoist/chain.cpp
+++ b/src/hoist/chain.cpp
@@ -136,9 +136,9 @@
   known_ = mark;
   known_value_ = value;
   learned_.push_back(value);
-  std::erase_if(puts_, [&](const Waiting& w) {
+  std::erase_if(puts_, [&](Waiting& w) {
     if (w.mark.version > mark.version) return false;
-    hands_.post(w.from, Taken{w.ticket, mark});
+    look(std::move(w));
     return true;
   });
 }
--- a/src/vise/member.cpp
+++ b/src/vise/member.cpp
@@ -437,10 +437,11 @@
   if (!is_register(word.name) || !may_vote(word.name)) return;
   Register& r = registers_.at(word.name);
   if ((word.name == kLaunch && grant_.left(from, now_) > 0) || !r.promise(word.ballot, word.round)) {
-    post(from, Promise{word.round, false, r.now().promised, {}, {}, 0});
+    post(from, Promise{word.round, false, r.now().promised, {}, {}, 0, {}});
     return;
   }
-  Promise answer{word.round, true, word.ballot, r.now().accepted, {}, lives_[options_.self.ip]};
+  Promise answer{word.round, true, word.ballot, r.now().accepted, {}, lives_[options_.self.ip], {}};
+  answer.lives.assign(lives_.begin(), lives_.end());
   if (r.now().value && r.now().accepted != word.have) answer.value = *r.now().value;
   Rows rows;
   if (word.name == kMembers)
--- a/src/vise/register.cpp
+++ b/src/vise/register.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "toolbox/frames.h"
+#include "vise/planted.h"
 
 namespace woadridge::vise {
 namespace {
@@ -128,6 +129,7 @@
   best_value_ = nullptr;
   promises_.clear();
   promised_by_.clear();
+  lives_.clear();
   for_.clear();
   against_.clear();
   again_ = now.time + kAskAgain;
@@ -196,6 +198,10 @@
   }
   if (!for_.insert(from).second) return {};
   promised_by_.emplace_back(from, word.life);
+  for (const auto& [ip, life] : word.lives) lives_[ip] = std::max(lives_[ip], life);
+  const bool outlived = std::any_of(promised_by_.begin(), promised_by_.end(),
+                                    [&](const auto& by) { return by.second < lives_[by.first]; });
+  if (outlived && !planted(Planted::lives_ignored)) return rest(now, 0);
   auto& told = promises_[from] = word;
   if (told.accepted > best_) {
     best_ = told.accepted;
--- a/src/vise/register.h
+++ b/src/vise/register.h
@@ -14,9 +14,13 @@
 //    and not x is less than a majority less one: either b was accepted by one of R and x finds it, or b is
 //    never acknowledged.
 //  - x had promised b and no more: the promise is gone. Every promise names the life of the disk that keeps
-//  it, each
-//    accept names the lives that promised it, and R holds x's new life on disk before x takes part: R and x
-//    refuse accepts that rest on x's earlier life, and the rest is no majority.
+//  it
+//    and all newer lives that its giver knows, and R holds x's new life on disk before x takes part. Of the
+//    others that promised b one, p, is in R (m-1 and m of n-1 others). Promised before p was in R: b' > b,
+//    and nothing below b' is accepted by R or x any more. After: p's promise tells of x's new life, and the
+//    asker begins again, so nobody accepts anything that rests on the promise that is gone, not even the
+//    asker alone (a later round would take that for what may have been chosen). Accepts name the lives that
+//    promised them, and who knows of a newer one refuses.
 //  - b' is x's alone: whatever x proposed in an earlier life was promised by a majority, so by one of R.
 #pragma once
 
@@ -131,6 +135,7 @@
   std::map<std::string, Holds> holds_;
   std::map<std::string, Promise> promises_;
   Lives promised_by_;
+  std::map<std::string, std::uint64_t> lives_;  // the newest that those who promised know of
   std::set<std::string> for_, against_;
   std::uint64_t highest_ = 0;
   Micros again_ = 0, settle_ = 0, sent_accept_ = 0;
--- a/src/vise/words.h
+++ b/src/vise/words.h
@@ -100,6 +100,8 @@
   }
 };
 
+using Lives = std::vector<std::pair<std::string, std::uint64_t>>;  // member, which life of its disk
+
 struct Promise {
   std::uint64_t round = 0;
   bool given = false;
@@ -107,14 +109,13 @@
   Ballot accepted;
   std::string value;
   std::uint64_t life = 0;  // of the disk that keeps the promise
+  Lives lives;             // of all disks, as far as the one that promises knows
   template <class A>
   void serialize(A& a) {
-    a(round, given, promised, accepted, value, life);
+    a(round, given, promised, accepted, value, life, lives);
   }
 };
 
-using Lives = std::vector<std::pair<std::string, std::uint64_t>>;  // member, which life of its disk
-
 struct Accept {
   std::uint64_t round = 0;
   std::string name;
--- a/tests/platform/vise/runs_test.cpp
+++ b/tests/platform/vise/runs_test.cpp
@@ -124,8 +124,13 @@
 TEST(Runs, FaultsOfTheChainAreFound) {
   using hoist::Planted;
   // A view that begins without what it is to begin with stands still, if nobody is left to ask for it.
-  const std::vector<std::string> lost = {"lost",       "lower version", "goes back",
-                                         "two values", "not taken",     "is not whole"};
+  const std::vector<std::string> lost = {"lost",
+                                         "lower version",
+                                         "goes back",
+                                         "two values",
+                                         "not taken",
+                                         "no link of the chain",
+                                         "without having been told"};
   for (const auto fault : {Planted::acked_at_head, Planted::before_sync, Planted::sealed_accepts,
                            Planted::seal_forgotten, Planted::unsealed_tells, Planted::old_tail_answers,
                            Planted::no_stage, Planted::blank_link, Planted::short_chain}) {
--- a/tests/platform/vise/scenes_test.cpp
+++ b/tests/platform/vise/scenes_test.cpp
@@ -66,7 +66,8 @@
   for (const std::size_t slow : {0U, 1U, 2U}) {
     World world(3, 13 + slow);
     world.pass(4 * kSecond);
-    world.nodes[slow].stalled_until = kForever;
+    const Micros over = world.now + 8 * kSecond;
+    world.nodes[slow].stalled_until = over;
     std::uint64_t version = 0;
     const auto put = [&] {
       bool good = false;
@@ -76,7 +77,7 @@
     };
     CHECK(until(world, 5 * kSecond, [&] { return put() < 200 * kMilli; }) < 3 * kSecond);
     for (int i = 0; i < 20; ++i) CHECK(put() < 200 * kMilli);
-    world.nodes[slow].stalled_until = 0;
+    world.pass(over - world.now);
     CHECK(until(world, 4 * kSecond, [&] { return world.taken_in(world.nodes[slow]); }) < 3'500 * kMilli);
     STRCMP_EQUAL("", world.broken().c_str());
   }
@@ -125,8 +126,8 @@
 
 // Five members. c has a promise of x for a high ballot when x loses its disk; x is told by the other three; a
 // change of a register is acknowledged by x and two of them; only then does c get the promise that it lacks.
-static std::string promise_of_a_lost_disk() {
-  World world(5, 16);
+static std::string promise_of_a_lost_disk(std::uint64_t seed) {
+  World world(5, seed);
   constexpr std::size_t c = 4, x = 3, w = 2, u = 0;
   world.pass(4 * kSecond);
   std::uint64_t acknowledged = 0, found = 0;
@@ -144,7 +145,7 @@
           if (good) acknowledged = std::max(acknowledged, number);
         });
   };
-  for (int i = 0; i < 3; ++i) change(c, 0);  // its ballots get high
+  for (int i = 0; i < 200; ++i) world.read(c);  // the tail asks for the view, and its ballots get high
   world.pass(300 * kMilli);
   const auto ip = [&](std::size_t n) { return world.nodes[n].ip; };
   bool late = true;
@@ -190,12 +191,14 @@
 }
 
 TEST(Scenes, APromiseOfALostDiskCountsNoMore) {
-  STRCMP_EQUAL("", promise_of_a_lost_disk().c_str());
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) STRCMP_EQUAL("", promise_of_a_lost_disk(seed).c_str());
 }
 
 TEST(Scenes, APromiseOfALostDiskThatCountsIsFound) {
   planted_now = Planted::lives_ignored;
-  STRCMP_CONTAINS("goes back", promise_of_a_lost_disk().c_str());
+  std::string broken;
+  for (std::uint64_t seed = 1; seed <= 40 && broken.empty(); ++seed) broken = promise_of_a_lost_disk(seed);
+  STRCMP_EQUAL("goes back", broken.c_str());
 }
 
 // All machines lose power when a change has just been acknowledged, and as many as may lose their disks.
