What no planted fault can reach is compiled once for both programs

Cause: the program with faults compiled all of the group and its transport again, though only seven of those files look at a fault.

Should one of the shared files come to include a planted fault's header, it no longer compiles and the message says why.

--- a/src/duty/planted.h
+++ b/src/duty/planted.h
@@ -2,6 +2,10 @@
 // program itself all of them are constants that are false, and no code remains of them.
 #pragma once
 
+#ifdef WOADRIDGE_NEVER_PLANTED
+#error "this file is built once for both programs: take it out of CMakeLists.txt's shared objects"
+#endif
+
 namespace woadridge::duty {
 
 enum class Planted {
--- a/src/peer/faulty_disk.h
+++ b/src/peer/faulty_disk.h
@@ -2,6 +2,10 @@
 // `faults` in the folder says (slow, fail, full, or nothing). In the program itself there is none.
 #pragma once
 
+#ifdef WOADRIDGE_NEVER_PLANTED
+#error "this file is built once for both programs: take it out of CMakeLists.txt's shared objects"
+#endif
+
 #include <string>
 
 namespace woadridge::peer {
