--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "common/homes.h"
+#include "common/log.h"
 #include "proxy/verdict.h"
 #include "text.h"
 
@@ -30,8 +31,9 @@
 constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
 constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
 constexpr Micros kSettleUnknown = 400'000;  // where it isn't known whether anybody still sends
-constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
-constexpr int kRefusalsLost = 2;     // connections in a row that one which was up refuses: it is gone
+constexpr Micros kSettle = 700'000;      // some works of an instance: what its last home has out there ends
+constexpr Micros kLogEvery = 1'000'000;  // between two lines of one kind
+constexpr int kRefusalsLost = 2;         // connections in a row that one which was up refuses: it is gone
 
 // Guards against two lives with one number, also where machines draw the same by chance: its name and the
 // moment are part of it.
@@ -50,6 +52,7 @@
       space_(settings_.memory_mb),
       alarms_(strand, clock_),
       outbound_(strand, clock_, alarms_, space_),
+      home_history_(settings_.node_name),
       random_(static_cast<unsigned>(fnv1a(settings_.node_name))),
       boot_(draw_boot(settings_.node_name)) {}
 
@@ -80,6 +83,14 @@
   return &board_.peers[at->second];
 }
 
+HomeReason Dispatch::reason_for(const common::Instance& instance, const std::string& home) {
+  if (instance.home == home) return HomeReason::named;
+  if (!instance.home.empty()) return is_down(instance.home) ? HomeReason::unreachable : HomeReason::drawn;
+  const auto& order = draws_[instance.service];
+  const bool passed_over = !order.empty() && is_down(board_.peers[order.front()].name);
+  return passed_over ? HomeReason::unreachable : HomeReason::drawn;
+}
+
 std::vector<Dispatch::Group> Dispatch::groups(const std::string& service) {
   std::vector<Group> all;
   const auto found = instances_.find(service);
@@ -132,8 +143,8 @@
 }
 
 Micros Dispatch::usable_from(const common::Instance& instance) {
-  const auto found = settles_.find(instance.id);
-  return found == settles_.end() ? 0 : found->second;
+  const auto* entry = home_history_.find(instance.id);
+  return entry == nullptr ? 0 : entry->usable_from;
 }
 
 FunctionScheduler& Dispatch::scheduler(const std::string& service) {
@@ -159,13 +170,53 @@
   for (const auto& [id, instance] : instances_[service]) {
     const auto* peer = owner(instance);
     const auto& name = peer == nullptr ? settings_.node_name : peer->name;
-    auto& before = sender_[id];
-    const bool moved = peer == nullptr && before != name && instance.condition == common::Condition::ready;
-    if (moved) settles_[id] = now() + settle_after(before);
-    before = name;
+    const bool moved = home_history_.see(now(), id, name);
+    const bool serves = instance.condition == common::Condition::ready;
+    if (moved) home_history_.reason(id, reason_for(instance, name));
+    if (moved && peer == nullptr && serves)
+      home_history_.usable_from(id, now() + settle_after(home_history_.find(id)->before));
     if (peer == nullptr) mine.push_back(instance);
   }
   schedulers_.at(service)->instances(std::move(mine));
+  log_homes();
+}
+
+// Gathered for a second: a change of the proxies moves many instances at once.
+void Dispatch::log_homes() {
+  if (std::exchange(homes_log_due_, true)) return;
+  alarms_.at(std::max(now(), homes_logged_at_ + kLogEvery), [this] {
+    homes_log_due_ = false;
+    homes_logged_at_ = now();
+    const HomeChanges changes = home_history_.take_changes();
+    if (changes.lost == 0) return;  // what is gained alone are instances that have started
+    common::info("homes changed", {{"gained", std::to_string(changes.gained)},
+                                   {"lost", std::to_string(changes.lost)},
+                                   {"proxies", std::to_string(board_.peers.size())},
+                                   {"term", std::to_string(board_.term)},
+                                   {"board", std::to_string(board_.version)}});
+  });
+}
+
+void Dispatch::turned_away(const std::string& instance, std::size_t own_out) {
+  ++turned_away_.count;
+  if (turned_away_.logged_at != 0 && now() - turned_away_.logged_at < kLogEvery) return;
+  const auto* entry = home_history_.find(instance);
+  const HomeEntry none;
+  const HomeEntry& home = entry == nullptr ? none : *entry;
+  const auto service = service_of_.find(instance);
+  common::warning("an instance has no room",
+                  {{"instance", instance},
+                   {"function", service == service_of_.end() ? "" : service->second},
+                   {"times", std::to_string(std::exchange(turned_away_.count, 0))},
+                   {"own_out", std::to_string(own_out)},
+                   {"home", home.home},
+                   {"reason", word(home.reason)},
+                   {"for_ms", std::to_string((now() - home.since) / 1000)},
+                   {"home_before", home.before},
+                   {"proxies", std::to_string(board_.peers.size())},
+                   {"term", std::to_string(board_.term)},
+                   {"board", std::to_string(board_.version)}});
+  turned_away_.logged_at = now();
 }
 
 void Dispatch::owners_changed() {
@@ -322,7 +373,9 @@
   if (end.boot != 0) boots_[pass->peer] = end.boot;
   answered_by(pass->peer, call->service, now() - pass->sent, answers && end.status != 503);
   if (answers) pump(pass->peer, call->service);
-  else shaken(pass->peer, end.how == How::no_connection ? kPeerDown : kPeerShaken);
+  else if (end.how == How::refused) shaken(pass->peer, kPeerDown, "refused");
+  else if (end.how == How::no_connection) shaken(pass->peer, kPeerDown, "silent");
+  else shaken(pass->peer, kPeerShaken, "broken off");
   switch (next) {
     case PassEnd::pass_along:
       return answer(call,
@@ -336,10 +389,14 @@
   }
 }
 
-void Dispatch::shaken(const std::string& peer, Micros span) {
+void Dispatch::shaken(const std::string& peer, Micros span, std::string_view why) {
   const bool news = !is_down(peer);
   down_until_[peer] = now() + span;
   if (!news) return;
+  common::info("a proxy can't be reached", {{"proxy", peer},
+                                            {"why", std::string(why)},
+                                            {"proxies", std::to_string(board_.peers.size())},
+                                            {"term", std::to_string(board_.term)}});
   owners_changed();
   alarms_.at(now() + span + 1000, [this] { owners_changed(); });
 }
@@ -359,8 +416,7 @@
     touched.insert(found->second);
     instances_[found->second].erase(id);
     service_of_.erase(found);
-    sender_.erase(id);
-    settles_.erase(id);
+    home_history_.forget(id);
     refusals_.erase(id);
   };
   if (news.whole || !news.buckets.empty()) {
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -11,6 +11,7 @@
 
 #include "common/settings.h"
 #include "proxy/function_scheduler.h"
+#include "proxy/home_history.h"
 #include "proxy/router.h"
 
 namespace woadridge::proxy {
@@ -47,6 +48,7 @@
   void has_news(FunctionScheduler& scheduler);
   void reached(const std::string& instance);
   void refused_connection(const std::string& instance);
+  void turned_away(const std::string& instance, std::size_t own_out);  // it had no room for what was sent
 
  private:
   struct Group {                         // the instances of a function that one proxy is home to
@@ -56,6 +58,7 @@
   const common::Peer* home(const std::string& service);     // null: this proxy
   const common::Peer* by_draw(const std::string& service);  // null: this proxy
   const common::Peer* owner(const common::Instance& instance);
+  HomeReason reason_for(const common::Instance& instance, const std::string& home);
   std::vector<Group> groups(const std::string& service);
   bool is_down(const std::string& peer);
   void owners_changed();
@@ -90,7 +93,7 @@
   void pass_on(CallRef call, const common::Peer& peer);
   void send(const PassRef& pass);
   void ended(const PassRef& pass, OutboundResult end);
-  void shaken(const std::string& peer, Micros span);
+  void shaken(const std::string& peer, Micros span, std::string_view why);
   void answered_by(const std::string& peer, const std::string& service, Micros took, bool served);
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
@@ -98,6 +101,11 @@
   Micros settle_after(const std::string& before);  // of an instance that this home had before
   void report_in(Micros span);
   void report();
+  void log_homes();
+  struct TurnedAway {  // since the last line of the log about it
+    std::size_t count = 0;
+    Micros logged_at = 0;
+  };
 
   common::Settings settings_;
   net::Clock clock_;
@@ -111,8 +119,7 @@
   std::unordered_map<std::string, std::map<std::string, common::Instance>>
       instances_;                                            // the board's by service
   std::unordered_map<std::string, std::string> service_of_;  // by id
-  std::unordered_map<std::string, std::string> sender_;      // the last home of each, as seen here
-  std::unordered_map<std::string, Micros> settles_;          // by id: until when
+  HomeHistory home_history_;
   std::unordered_map<std::string, std::size_t> peer_at_;
   std::map<std::pair<std::string, std::string>, Window> windows_;  // by service and peer
   std::map<std::string, std::vector<std::size_t>> draws_;  // as they come; forgotten when the peers change
@@ -127,6 +134,9 @@
   std::uint64_t passes_ = 0;
   std::map<std::string, std::uint64_t> boots_;  // by peer, as their answers say
   bool leaving_ = false;
+  TurnedAway turned_away_;
+  Micros homes_logged_at_ = 0;
+  bool homes_log_due_ = false;
 };
 
 }  // namespace woadridge::proxy
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -17,9 +17,11 @@
 namespace woadridge::proxy {
 
 struct OutboundResult {
+  // refused: no connection, as nobody listens there: the process that did has ended;
   // unsent: not even its head was taken whole by the system, so nobody can have read it as a request;
   // broken: it may have run.
-  enum class How { no_connection, unsent, broken, answered };
+  enum class How { no_connection, refused, unsent, broken, answered };
+  bool connected() const { return how != How::no_connection && how != How::refused; }
   How how = How::no_connection;
   int status = 0;
   std::string head, body;                                                     // of an answer
--- a/src/proxy/function_scheduler.cpp
+++ b/src/proxy/function_scheduler.cpp
@@ -197,9 +197,9 @@
   const Micros now = dispatch_.now();
   auto& one = open.tries[static_cast<std::size_t>(attempt)];
   const AttemptEnd judged = judge_attempt(end);
+  if (judged == AttemptEnd::turned_away) dispatch_.turned_away(one.instance, out_at(one.instance));
   if (judged == AttemptEnd::misdirected) dispatch_.refused_connection(one.instance);
-  if (end.how == OutboundResult::How::no_connection && known_.contains(one.instance))
-    dispatch_.refused_connection(one.instance);
+  if (!end.connected() && known_.contains(one.instance)) dispatch_.refused_connection(one.instance);
   if (judged != AttemptEnd::answered) return over(id, attempt, result_of(judged), false);
   if (is_success(end.status)) {
     const double took = static_cast<double>(now - one.sent);
@@ -213,6 +213,13 @@
   over(id, attempt, Result::ok, true);
 }
 
+std::size_t FunctionScheduler::out_at(const WorkerId& instance) const {
+  std::size_t out = 0;
+  for (const auto& [id, open] : open_)
+    for (const auto& one : open.tries) out += one.outbound != 0 && one.instance == instance ? 1 : 0;
+  return out;
+}
+
 void FunctionScheduler::time_out(RequestId id, int attempt) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
--- a/src/proxy/function_scheduler.h
+++ b/src/proxy/function_scheduler.h
@@ -68,6 +68,7 @@
   void over(RequestId id, int attempt, Result result, bool finished);
   void answered(Open& open, Reply reply);
   void forget_if_over(RequestId id);
+  std::size_t out_at(const WorkerId& instance) const;  // attempts of this proxy that are not over
   void tell_list();
   void poll(const WorkerId& id);
   void reached(const WorkerId& id, bool up);
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -77,6 +77,7 @@
     });
     socket_.async_connect(common::endpoint_of(place_), [self](Fault failed) {
       if (self->closed_) return;
+      if (failed == boost::asio::error::connection_refused) return self->fail(OutboundResult::How::refused);
       if (failed) return self->fail(OutboundResult::How::no_connection);
       self->connected_ = true;
       self->limit_.cancel();
--- a/src/proxy/verdict.cpp
+++ b/src/proxy/verdict.cpp
@@ -38,7 +38,7 @@
 }
 
 AttemptEnd judge_attempt(const OutboundResult& end) {
-  if (end.how == How::no_connection || end.how == How::unsent) return AttemptEnd::unreachable;
+  if (!end.connected() || end.how == How::unsent) return AttemptEnd::unreachable;
   if (end.how == How::broken || !end.named) return AttemptEnd::may_have_run;
   if (end.status == 421) return AttemptEnd::misdirected;
   if (end.not_executed) return end.status == 400 ? AttemptEnd::rejected : AttemptEnd::turned_away;
