--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 
-#include "common/homes.h"
 #include "common/log.h"
 #include "proxy/verdict.h"
 #include "text.h"
@@ -25,13 +24,11 @@
 constexpr int kMostPassedAgain = 1;      // by one that it was sent to: boards differ for a moment
 constexpr double kWindowTime =
     0.25;  // seconds of what a home bears that may be out there, of all proxies at first
-constexpr double kMostWindow = 64;     // calls of one function out at one home
-constexpr double kSlow = 2.5;          // times the usual answer's time: the home has more than it bears ...
-constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
-constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
-constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
-constexpr Micros kSettleUnknown = 400'000;  // where it isn't known whether anybody still sends
-constexpr Micros kSettle = 700'000;      // some works of an instance: what its last home has out there ends
+constexpr double kMostWindow = 64;       // calls of one function out at one home
+constexpr double kSlow = 2.5;            // times the usual answer's time: the home has more than it bears ...
+constexpr double kSlowLeast = 60'000;    // ... and so much beyond, in microseconds: work varies
+constexpr double kUsualWeight = 0.1;     // of a new answer's time in the usual one
+constexpr double kHomeMoved = 0.05;      // seconds, after which the new home is known
 constexpr Micros kLogEvery = 1'000'000;  // between two lines of one kind
 constexpr int kRefusalsLost = 2;         // connections in a row that one which was up refuses: it is gone
 
@@ -52,79 +49,32 @@
       space_(settings_.memory_mb),
       alarms_(strand, clock_),
       outbound_(strand, clock_, alarms_, space_),
-      home_history_(settings_.node_name),
+      view_(settings_.node_name),
       random_(static_cast<unsigned>(fnv1a(settings_.node_name))),
       boot_(draw_boot(settings_.node_name)) {}
 
-bool Dispatch::is_down(const std::string& peer) {
-  const auto down = down_until_.find(peer);
-  return down != down_until_.end() && down->second > now();
-}
-
-const common::Peer* Dispatch::by_draw(const std::string& service) {
-  auto found = draws_.find(service);
-  if (found == draws_.end()) found = draws_.emplace(service, common::homes(service, board_.peers)).first;
-  for (const auto at : found->second) {
-    const auto& peer = board_.peers[at];
-    if (peer.name == settings_.node_name) {
-      if (leaving_) continue;
-      return nullptr;
-    }
-    if (!is_down(peer.name)) return &peer;
-  }
-  return nullptr;  // nobody else is there
-}
-
-const common::Peer* Dispatch::owner(const common::Instance& instance) {
-  if (instance.home.empty()) return by_draw(instance.service);
-  if (instance.home == settings_.node_name && !leaving_) return nullptr;
-  const auto at = peer_at_.find(instance.home);
-  if (at == peer_at_.end() || is_down(instance.home)) return by_draw(instance.service);
-  return &board_.peers[at->second];
-}
-
-HomeReason Dispatch::reason_for(const common::Instance& instance, const std::string& home) {
-  if (instance.home == home) return HomeReason::named;
-  if (!instance.home.empty()) return is_down(instance.home) ? HomeReason::unreachable : HomeReason::drawn;
-  const auto& order = draws_[instance.service];
-  const bool passed_over = !order.empty() && is_down(board_.peers[order.front()].name);
-  return passed_over ? HomeReason::unreachable : HomeReason::drawn;
-}
-
-std::vector<Dispatch::Group> Dispatch::groups(const std::string& service) {
-  std::vector<Group> all;
-  const auto found = instances_.find(service);
-  if (found == instances_.end()) return all;
-  for (const auto& [id, instance] : found->second) {
-    if (instance.condition == common::Condition::draining) continue;
-    const auto* peer = owner(instance);
-    auto group = std::find_if(all.begin(), all.end(), [&](const Group& g) { return g.peer == peer; });
-    if (group == all.end()) group = all.insert(all.end(), Group{peer, 0, 0});
-    (instance.condition == common::Condition::ready ? group->up : group->starting) += instance.capacity;
-  }
-  return all;
-}
-
 // One home is the rule. A function with more has them for its traffic: each gets its part by its slots, this
 // proxy's own first.
 const common::Peer* Dispatch::home(const std::string& service) {
-  const auto all = groups(service);
-  if (all.empty()) return by_draw(service);
-  double up = 0;
-  for (const auto& group : all) {
-    up += group.up;
+  const auto all = view_.groups(now(), service);
+  if (all.empty()) return view_.by_draw(now(), service);
+  for (const auto& group : all)
     if (group.peer == nullptr && (group.up > 0 || all.size() == 1)) return nullptr;
-  }
   if (all.size() == 1) return all.front().peer;
-  const auto has_room = [&](const Group& g) {
+  return pick_home(all, service);
+}
+
+const common::Peer* Dispatch::pick_home(const std::vector<HomeGroup>& all, const std::string& service) {
+  const bool any_up = std::any_of(all.begin(), all.end(), [](const HomeGroup& g) { return g.up > 0; });
+  const auto has_room = [&](const HomeGroup& g) {
     const auto found = windows_.find({service, g.peer->name});
     return found == windows_.end() || static_cast<double>(found->second.out) < found->second.size;
   };
   const bool room =
-      std::any_of(all.begin(), all.end(), [&](const Group& g) { return g.peer && has_room(g); });
-  const auto slots = [&](const Group& g) {
+      std::any_of(all.begin(), all.end(), [&](const HomeGroup& g) { return g.peer && has_room(g); });
+  const auto slots = [&](const HomeGroup& g) {
     if (g.peer == nullptr || (room && !has_room(g))) return 0.0;
-    return up > 0 ? g.up : g.starting;
+    return any_up ? g.up : g.starting;
   };
   double sum = 0;
   for (const auto& group : all) sum += slots(group);
@@ -136,17 +86,6 @@
   return all.back().peer;
 }
 
-bool Dispatch::is_home(const std::string& service) {
-  const auto all = groups(service);
-  if (all.empty()) return by_draw(service) == nullptr;
-  return std::any_of(all.begin(), all.end(), [](const Group& g) { return g.peer == nullptr; });
-}
-
-Micros Dispatch::usable_from(const common::Instance& instance) {
-  const auto* entry = home_history_.find(instance.id);
-  return entry == nullptr ? 0 : entry->usable_from;
-}
-
 FunctionScheduler& Dispatch::scheduler(const std::string& service) {
   auto& found = schedulers_[service];
   if (!found) {
@@ -156,28 +95,8 @@
   return *found;
 }
 
-Micros Dispatch::settle_after(const std::string& before) {
-  if (is_down(before)) return 0;  // what it had out has ended with it
-  if (peer_at_.contains(before)) return kSettle;
-  // It may have been told to end, and then it still has calls out, or have died.
-  return !before.empty() || board_.peers.size() > 1 ? kSettleUnknown : 0;
-}
-
-// Guards against two homes that send to one instance at once: what an earlier one, which is still there, has
-// out at it ends first.
 void Dispatch::show(const std::string& service) {
-  std::vector<common::Instance> mine;
-  for (const auto& [id, instance] : instances_[service]) {
-    const auto* peer = owner(instance);
-    const auto& name = peer == nullptr ? settings_.node_name : peer->name;
-    const bool moved = home_history_.see(now(), id, name);
-    const bool serves = instance.condition == common::Condition::ready;
-    if (moved) home_history_.reason(id, reason_for(instance, name));
-    if (moved && peer == nullptr && serves)
-      home_history_.usable_from(id, now() + settle_after(home_history_.find(id)->before));
-    if (peer == nullptr) mine.push_back(instance);
-  }
-  schedulers_.at(service)->instances(std::move(mine));
+  schedulers_.at(service)->instances(view_.own(now(), service));
   log_homes();
 }
 
@@ -187,35 +106,33 @@
   alarms_.at(std::max(now(), homes_logged_at_ + kLogEvery), [this] {
     homes_log_due_ = false;
     homes_logged_at_ = now();
-    const HomeChanges changes = home_history_.take_changes();
+    const HomeChanges changes = view_.take_changes();
     if (changes.lost == 0) return;  // what is gained alone are instances that have started
     common::info("homes changed", {{"gained", std::to_string(changes.gained)},
                                    {"lost", std::to_string(changes.lost)},
-                                   {"proxies", std::to_string(board_.peers.size())},
-                                   {"term", std::to_string(board_.term)},
-                                   {"board", std::to_string(board_.version)}});
+                                   {"proxies", std::to_string(board().peers.size())},
+                                   {"term", std::to_string(board().term)},
+                                   {"board", std::to_string(board().version)}});
   });
 }
 
 void Dispatch::turned_away(const std::string& instance, std::size_t own_out) {
   ++turned_away_.count;
   if (turned_away_.logged_at != 0 && now() - turned_away_.logged_at < kLogEvery) return;
-  const auto* entry = home_history_.find(instance);
+  const auto* entry = view_.history(instance);
   const HomeEntry none;
   const HomeEntry& home = entry == nullptr ? none : *entry;
-  const auto service = service_of_.find(instance);
-  common::warning("an instance has no room",
-                  {{"instance", instance},
-                   {"function", service == service_of_.end() ? "" : service->second},
-                   {"times", std::to_string(std::exchange(turned_away_.count, 0))},
-                   {"own_out", std::to_string(own_out)},
-                   {"home", home.home},
-                   {"reason", word(home.reason)},
-                   {"for_ms", std::to_string((now() - home.since) / 1000)},
-                   {"home_before", home.before},
-                   {"proxies", std::to_string(board_.peers.size())},
-                   {"term", std::to_string(board_.term)},
-                   {"board", std::to_string(board_.version)}});
+  common::warning("an instance has no room", {{"instance", instance},
+                                              {"function", view_.function_of(instance)},
+                                              {"times", std::to_string(std::exchange(turned_away_.count, 0))},
+                                              {"own_out", std::to_string(own_out)},
+                                              {"home", home.home},
+                                              {"reason", word(home.reason)},
+                                              {"for_ms", std::to_string((now() - home.since) / 1000)},
+                                              {"home_before", home.before},
+                                              {"proxies", std::to_string(board().peers.size())},
+                                              {"term", std::to_string(board().term)},
+                                              {"board", std::to_string(board().version)}});
   turned_away_.logged_at = now();
 }
 
@@ -258,7 +175,7 @@
 Dispatch::Window& Dispatch::window(const std::string& peer, const std::string& service) {
   auto& window = windows_[{service, peer}];
   if (window.size > 0) return window;
-  const auto peers = static_cast<double>(std::max<std::size_t>(1, board_.peers.size()));
+  const auto peers = static_cast<double>(std::max<std::size_t>(1, board().peers.size()));
   window.size = std::max(1.0, kWindowTime * settings_.calls_per_s() / peers);
   return window;
 }
@@ -297,12 +214,12 @@
 }
 
 void Dispatch::pump(const std::string& peer, const std::string& service) {
-  const auto found = peer_at_.find(peer);
+  const common::Peer* to = view_.peer(peer);
   auto& at = window(peer, service);
-  while (!at.waiting.empty() && found != peer_at_.end() && static_cast<double>(at.out) < at.size) {
+  while (!at.waiting.empty() && to != nullptr && static_cast<double>(at.out) < at.size) {
     const CallRef call = at.waiting.front();
     at.waiting.pop_front();
-    pass_on(call, board_.peers[found->second]);
+    pass_on(call, *to);
   }
 }
 
@@ -390,63 +307,35 @@
 }
 
 void Dispatch::shaken(const std::string& peer, Micros span, std::string_view why) {
-  const bool news = !is_down(peer);
-  down_until_[peer] = now() + span;
+  const bool news = !view_.is_down(now(), peer);
+  view_.down(peer, now() + span);
   if (!news) return;
   common::info("a proxy can't be reached", {{"proxy", peer},
                                             {"why", std::string(why)},
-                                            {"proxies", std::to_string(board_.peers.size())},
-                                            {"term", std::to_string(board_.term)}});
+                                            {"proxies", std::to_string(board().peers.size())},
+                                            {"term", std::to_string(board().term)}});
   owners_changed();
   alarms_.at(now() + span + 1000, [this] { owners_changed(); });
 }
 
 void Dispatch::told(const common::News& news) {
-  const bool peers_changed = news.peers_told && news.peers != board_.peers;
-  const auto plan_before = board_.plan.version;
-  const bool taken = board_.apply(news);
-  const bool holds_both = board_.plan.version > 0 && board_.term > 0;
-  informed_ = informed_ || (holds_both && board_.plan.version >= news.newest_plan);
-  if (board_.plan.version != plan_before) router_.take(board_.plan);
-  if (!taken) return;
-  std::set<std::string> touched;
-  const auto forget = [&](const std::string& id) {
-    const auto found = service_of_.find(id);
-    if (found == service_of_.end()) return;
-    touched.insert(found->second);
-    instances_[found->second].erase(id);
-    service_of_.erase(found);
-    home_history_.forget(id);
-    refusals_.erase(id);
-  };
-  if (news.whole || !news.buckets.empty()) {
-    std::vector<std::string> gone;
-    for (const auto& [id, service] : service_of_)
-      if (!board_.instances.contains(id)) gone.push_back(id);
-    for (const auto& id : gone) forget(id);
-  }
-  for (const auto& id : news.gone) forget(id);
-  for (const auto& instance : news.changed) {
-    touched.insert(instance.service);
-    service_of_[instance.id] = instance.service;
-    instances_[instance.service][instance.id] = instance;
-  }
-  if (peers_changed) {
-    draws_.clear();
-    down_until_.clear();
-    peer_at_.clear();
-    for (std::size_t at = 0; at < board_.peers.size(); ++at) peer_at_[board_.peers[at].name] = at;
-    for (const auto& [service, all] : instances_)
-      if (!all.empty() && (schedulers_.contains(service) || is_home(service))) touched.insert(service);
-  }
-  for (const auto& service : touched) {
+  ViewChange change = view_.told(news);
+  const bool holds_both = board().plan.version > 0 && board().term > 0;
+  informed_ = informed_ || (holds_both && board().plan.version >= news.newest_plan);
+  if (change.plan) router_.take(board().plan);
+  if (!change.taken) return;
+  for (const auto& id : change.gone) refusals_.erase(id);
+  if (change.peers)
+    for (const auto& service : view_.functions())
+      if (schedulers_.contains(service) || is_home(service)) change.functions.insert(service);
+  for (const auto& service : change.functions) {
     if (schedulers_.contains(service)) show(service);
     else if (is_home(service)) scheduler(service);
   }
-  if (peers_changed) owners_changed();
-  for (const auto& service : touched)
+  if (change.peers) owners_changed();
+  for (const auto& service : change.functions)
     if (schedulers_.contains(service)) give_on(service);
-  for (const auto& service : touched) requeue(service);
+  for (const auto& service : change.functions) requeue(service);
 }
 
 void Dispatch::has_news(FunctionScheduler& scheduler) {
@@ -479,7 +368,7 @@
 void Dispatch::report() {
   report_at_ = 0;
   common::Report report = std::exchange(next_, {});
-  report.leaving = leaving_;
+  report.leaving = leaving();
   std::set<std::string> still;
   bool held = false;
   for (const auto& service : touched_) {
@@ -499,7 +388,8 @@
 }
 
 void Dispatch::leave(Micros at) {
-  const bool first = !std::exchange(leaving_, true);
+  const bool first = !leaving();
+  view_.leave();
   report_in(0);
   if (first) owners_changed();  // what is held here waits for instances that another sends to now
   for (auto& [service, scheduler] : schedulers_) scheduler->leave(at);
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -11,7 +11,7 @@
 
 #include "common/settings.h"
 #include "proxy/function_scheduler.h"
-#include "proxy/home_history.h"
+#include "proxy/home_view.h"
 #include "proxy/router.h"
 
 namespace woadridge::proxy {
@@ -28,12 +28,12 @@
   void stop();
   // Once it holds what a holder has told, and no configuration below one that its agent has heard of; from
   // then on it serves on with what it has.
-  bool ready() const { return informed_ && !leaving_; }
-  bool leaving() const { return leaving_; }
+  bool ready() const { return informed_ && !leaving(); }
+  bool leaving() const { return view_.leaving(); }
   void change(common::Settings settings) { settings_ = std::move(settings); }
 
   const Router& router() const { return router_; }
-  const common::Board& board() const { return board_; }
+  const common::Board& board() const { return view_.board(); }
   const common::Settings& settings() const { return settings_; }
   const net::Clock& clock() const { return clock_; }
   net::BufferSpace& space() { return space_; }
@@ -43,24 +43,16 @@
   std::int64_t boot() const { return boot_; }  // of this life of the process
 
   // For the schedulers.
-  bool is_home(const std::string& service);
-  Micros usable_from(const common::Instance& instance);  // one that another home has sent to settles first
+  bool is_home(const std::string& service) { return view_.is_home(now(), service); }
+  Micros usable_from(const common::Instance& instance) const { return view_.usable_from(instance.id); }
   void has_news(FunctionScheduler& scheduler);
   void reached(const std::string& instance);
   void refused_connection(const std::string& instance);
   void turned_away(const std::string& instance, std::size_t own_out);  // it had no room for what was sent
 
  private:
-  struct Group {                         // the instances of a function that one proxy is home to
-    const common::Peer* peer = nullptr;  // null: this proxy
-    double up = 0, starting = 0;         // slots
-  };
-  const common::Peer* home(const std::string& service);     // null: this proxy
-  const common::Peer* by_draw(const std::string& service);  // null: this proxy
-  const common::Peer* owner(const common::Instance& instance);
-  HomeReason reason_for(const common::Instance& instance, const std::string& home);
-  std::vector<Group> groups(const std::string& service);
-  bool is_down(const std::string& peer);
+  const common::Peer* home(const std::string& service);  // null: this proxy
+  const common::Peer* pick_home(const std::vector<HomeGroup>& groups, const std::string& service);
   void owners_changed();
   void give_on(const std::string& service);
   void refuse(const CallRef& call, double retry_after_s);
@@ -98,7 +90,6 @@
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
   void show(const std::string& service);
-  Micros settle_after(const std::string& before);  // of an instance that this home had before
   void report_in(Micros span);
   void report();
   void log_homes();
@@ -113,27 +104,19 @@
   Alarms alarms_;
   Outbound outbound_;
   Router router_;
-  common::Board board_;
+  HomeView view_;
   bool informed_ = false;
   std::map<std::string, std::unique_ptr<FunctionScheduler>> schedulers_;
-  std::unordered_map<std::string, std::map<std::string, common::Instance>>
-      instances_;                                            // the board's by service
-  std::unordered_map<std::string, std::string> service_of_;  // by id
-  HomeHistory home_history_;
-  std::unordered_map<std::string, std::size_t> peer_at_;
   std::map<std::pair<std::string, std::string>, Window> windows_;  // by service and peer
-  std::map<std::string, std::vector<std::size_t>> draws_;  // as they come; forgotten when the peers change
   std::minstd_rand random_;
-  std::map<std::string, Micros> down_until_;  // peers that could not be reached
-  std::map<std::string, int> refusals_;       // connections that an instance has refused
-  std::set<std::string> touched_;             // schedulers with something to report
+  std::map<std::string, int> refusals_;  // connections that an instance has refused
+  std::set<std::string> touched_;        // schedulers with something to report
   common::Report next_;
   OnReport tell_;
   Micros report_at_ = 0;  // 0: none is due
   std::int64_t boot_;
   std::uint64_t passes_ = 0;
   std::map<std::string, std::uint64_t> boots_;  // by peer, as their answers say
-  bool leaving_ = false;
   TurnedAway turned_away_;
   Micros homes_logged_at_ = 0;
   bool homes_log_due_ = false;
