An instance that gets another home waits until the home before has said that it has stopped

Cause: a home was handed over by time. In the same class: homes by draw from each proxy's own list of proxies, which differ for a while; a new holder that named homes before the agents of the old ones were back; a proxy without any list, which took itself for the only home.

Now the holder names every instance's home. One that moves says on the board for whom it waits; that proxy stops, lets its calls end and reports the instance as released, and only then the new home sends. Who is gone from the roster isn't waited for. A new holder names no home of an instance that it didn't start until the proxies of the earlier list are back, 4 s at most; until then each keeps the homes that it was told of. Who comes later still is waited for likewise.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -98,7 +98,7 @@
   owned_.clear();
   const auto& board = held_.board();
   for (const auto& [id, instance] : board.instances)
-    if (instance.home == settings_.node_name) owned_.push_back(id);
+    if (instance.home == settings_.node_name && instance.waits_for.empty()) owned_.push_back(id);
   sums_ = board.term > 0 ? board.sums() : std::vector<std::uint64_t>{};
   up_ = common::FrameConnection::to(strand_, link_.place(), kConnectionSilent, kConnectLimit);
   up_->start([this](std::string_view bytes) { heard(bytes); },
@@ -125,6 +125,7 @@
   ask.sums = std::exchange(sums_, {});
   ask.seen_term = held_.seen_term();
   ask.seen_plan = held_.seen_plan();
+  ask.peers = static_cast<std::uint32_t>(board.peers.size());
   up_->say(AgentSays{std::move(ask)});
 }
 
--- a/src/agent/pending.cpp
+++ b/src/agent/pending.cpp
@@ -6,13 +6,17 @@
 namespace woadridge::agent {
 namespace {
 
+void put(const std::string& id, std::deque<std::string>& to) {
+  if (std::find(to.begin(), to.end(), id) != to.end()) return;
+  if (to.size() >= Pending::kMostIds) to.pop_front();
+  to.push_back(id);
+}
+
 // An id stands in one of the two, once, as it was told last.
 void tell(const std::vector<std::string>& ids, std::deque<std::string>& to, std::deque<std::string>& other) {
   for (const auto& id : ids) {
     std::erase(other, id);
-    if (std::find(to.begin(), to.end(), id) != to.end()) continue;
-    if (to.size() >= Pending::kMostIds) to.pop_front();
-    to.push_back(id);
+    put(id, to);
   }
 }
 
@@ -30,6 +34,7 @@
   }
   tell(report.reached, reached_, lost_);
   tell(report.lost, lost_, reached_);
+  for (const auto& id : report.released) put(id, released_);
 }
 
 common::Report Pending::take(Millis now) {
@@ -38,6 +43,7 @@
     if (now - at <= kOld) report.demand.push_back(std::move(demand));
   report.reached.assign(reached_.begin(), reached_.end());
   report.lost.assign(lost_.begin(), lost_.end());
+  report.released.assign(released_.begin(), released_.end());
   clear();
   return report;
 }
@@ -46,6 +52,7 @@
   demand_.clear();
   reached_.clear();
   lost_.clear();
+  released_.clear();
 }
 
 }  // namespace woadridge::agent
--- a/src/agent/pending.h
+++ b/src/agent/pending.h
@@ -14,7 +14,7 @@
 class Pending {
  public:
   void add(Millis now, const common::Report& report);
-  bool empty() const { return demand_.empty() && reached_.empty() && lost_.empty(); }
+  bool empty() const { return demand_.empty() && reached_.empty() && lost_.empty() && released_.empty(); }
   common::Report take(Millis now);  // and is empty; what is older than the holder can use is left out
   void clear();
 
@@ -27,7 +27,7 @@
     Millis at = 0;
   };
   std::vector<Aged> demand_;  // by service
-  std::deque<std::string> reached_, lost_;
+  std::deque<std::string> reached_, lost_, released_;
 };
 
 }  // namespace woadridge::agent
--- a/src/autoscaler/placement.cpp
+++ b/src/autoscaler/placement.cpp
@@ -13,22 +13,34 @@
 constexpr double kDown = 0.15;               // and when it is lower: bursts come in flocks
 constexpr double kNarrow = 0.6;              // homes are given up when so much of their number would do ...
 constexpr Micros kNarrowAfter = 10'000'000;  // ... for so long
-constexpr int kMovesAtOnce = 1;              // of a function: each may meet what its last home still has out
+constexpr int kMovesAtOnce = 1;              // of a function: its other instances serve meanwhile
 constexpr Micros kMoveEvery =
-    600'000;  // of one function: what the last home has out at the instance ends first
+    600'000;  // of one function: one that moves does nothing until it has been handed over
+
+std::set<std::string> names_of(const std::vector<common::Peer>& peers) {
+  std::set<std::string> names;
+  for (const auto& peer : peers) names.insert(peer.name);
+  return names;
+}
 
 }  // namespace
 
 void Placement::begin() {
-  functions_.clear();
-  service_of_.clear();
-  held_.clear();
-  peers_.clear();
+  *this = Placement();
 }
 
 void Placement::peers(std::vector<common::Peer> peers, std::uint32_t calls_per_s) {
   peers_ = std::move(peers);
+  peer_names_ = names_of(peers_);
   bears_ = calls_per_s;
+  proxies_changed_ = true;
+}
+
+void Placement::present(const std::vector<common::Peer>& proxies) {
+  if (proxies == present_) return;
+  present_ = proxies;
+  present_names_ = names_of(present_);
+  proxies_changed_ = true;
 }
 
 void Placement::told(Micros now, const common::Report& report) {
@@ -53,44 +65,65 @@
 }
 
 std::vector<std::string> Placement::wanted_homes(const std::string& service, const Function& f) const {
-  const auto order = common::homes(service, peers_);
+  const auto& proxies = peers_.empty() ? present_ : peers_;
+  const auto order = common::homes(service, proxies);
   const auto count = std::min({f.wanted, order.size(), std::max<std::size_t>(1, f.homes.size())});
   std::vector<std::string> names;
-  for (std::size_t n = 0; n < count; ++n) names.push_back(peers_[order[n]].name);
+  for (std::size_t n = 0; n < count; ++n) names.push_back(proxies[order[n]].name);
   return names;
 }
 
 std::string Placement::emptiest(const Function& f, const std::vector<std::string>& homes) {
   const auto held = [&](const std::string& home) {
-    return std::count_if(f.homes.begin(), f.homes.end(), [&](const auto& h) { return h.second == home; });
+    return std::count_if(f.homes.begin(), f.homes.end(),
+                         [&](const auto& h) { return h.second.name == home; });
   };
-  return *std::min_element(homes.begin(), homes.end(), [&](auto& a, auto& b) { return held(a) < held(b); });
+  const auto least =
+      std::min_element(homes.begin(), homes.end(), [&](auto& a, auto& b) { return held(a) < held(b); });
+  return least == homes.end() ? std::string() : *least;
+}
+
+Placement::Home* Placement::find(const std::string& id) {
+  const auto found = service_of_.find(id);
+  return found == service_of_.end() ? nullptr : &functions_[found->second].homes.at(id);
 }
 
 void Placement::place(Micros now, common::Instance& instance) {
   auto& f = functions_[instance.service];
-  service_of_[instance.id] = instance.service;
-  const auto found = f.homes.find(instance.id);
-  if (found != f.homes.end()) {
-    instance.home = found->second;
-    return;
-  }
-  look(now, f);
+  const bool first_seen = service_of_.emplace(instance.id, instance.service).second;
   auto& home = f.homes[instance.id];
-  if (const auto before = held_.find(instance.id); before != held_.end()) {
-    home = instance.home = before->second;
-    held_.erase(before);
-    f.wanted = std::max(f.wanted, homes_of(instance.service));
-    f.wide_at = now;
+  if (first_seen) {
+    look(now, f);
+    if (const auto before = held_.find(instance.id); before != held_.end()) {
+      home.name = before->second;
+      held_.erase(before);
+      f.wanted = std::max(f.wanted, homes_of(instance.service));
+      f.wide_at = now;
+    } else if (!peers_.empty() || instance.condition == common::Condition::starting) {
+      home.name = emptiest(f, wanted_homes(instance.service, f));
+    }  // else an earlier holder may have named one, whose agent isn't back yet
+  }
+  instance.home = home.name;
+  instance.waits_for = home.waits_for;
+}
+
+void Placement::held(const std::string& id, const std::string& name) {
+  Home* home = find(id);
+  if (home == nullptr) {
+    held_[id] = name;
     return;
   }
-  const auto homes = wanted_homes(instance.service, f);
-  if (homes.size() > 1) home = emptiest(f, homes);
-  instance.home = home;
+  if (home->name == name || !home->waits_for.empty()) return;
+  if (home->name.empty()) home->name = name;
+  else home->waits_for = name;  // it comes late: another was named meanwhile
+  moved_.insert(id);
 }
 
-void Placement::held(const std::string& id, const std::string& home) {
-  if (!service_of_.contains(id)) held_[id] = home;
+void Placement::released(const std::string& id, const std::string& name) {
+  Home* home = find(id);
+  if (home == nullptr || home->waits_for != name) return;
+  home->waits_for.clear();
+  moved_.insert(id);
 }
 
 void Placement::gone(const std::string& id) {
@@ -98,46 +131,64 @@
   if (found == service_of_.end()) return;
   functions_[found->second].homes.erase(id);
   service_of_.erase(found);
+  moved_.erase(id);
 }
 
-std::vector<std::pair<std::string, std::string>> Placement::moves(Micros now) {
-  std::vector<std::pair<std::string, std::string>> moved;
-  const auto is_there = [&](const std::string& name) {
-    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) { return p.name == name; });
-  };
+std::vector<Placement::Move> Placement::moves(Micros now) {
+  if (std::exchange(proxies_changed_, false)) follow_proxies();
   for (auto& [service, f] : functions_) {
     look(now, f);
-    if (f.homes.empty() || peers_.empty()) continue;
-    const bool placement =
-        std::any_of(f.homes.begin(), f.homes.end(), [](auto& h) { return !h.second.empty(); });
-    if (f.wanted <= 1 && !placement) continue;
-    const auto homes = wanted_homes(service, f);
-    // One by draw counts as the first's. A home that has gone is replaced at once: nobody sends there.
-    for (auto& [id, home] : f.homes) {
-      const auto before = home;
-      if (home.empty()) home = homes.front();
-      else if (!is_there(home)) home = emptiest(f, homes);
-      if (home != before) moved.emplace_back(id, home);
-    }
-    if (now - f.moved_at < kMoveEvery) continue;
-    std::map<std::string, int> held;
-    for (const auto& home : homes) held[home] = 0;
-    for (const auto& [id, home] : f.homes) ++held[home];
-    for (int n = 0; n < kMovesAtOnce; ++n) {
-      const auto fullest =
-          std::max_element(held.begin(), held.end(), [](auto& a, auto& b) { return a.second < b.second; });
-      const auto least = emptiest(f, homes);
-      if (fullest->second - held[least] <= 1) break;
-      const auto one =
-          std::find_if(f.homes.begin(), f.homes.end(), [&](auto& h) { return h.second == fullest->first; });
-      one->second = least;
-      --fullest->second;
-      ++held[least];
-      f.moved_at = now;
-      moved.emplace_back(one->first, least);
+    if (!f.homes.empty() && !peers_.empty()) balance(now, service, f);
+  }
+  std::vector<Move> moves;
+  for (const auto& id : std::exchange(moved_, {})) moves.push_back({id, *find(id)});
+  return moves;
+}
+
+void Placement::follow_proxies() {
+  for (auto& [service, f] : functions_)
+    if (!f.homes.empty()) follow_proxies(service, f);
+}
+
+void Placement::follow_proxies(const std::string& service, Function& f) {
+  std::vector<std::string> homes;  // as they are wanted; worked out once, if any has to be named
+  for (auto& [id, home] : f.homes) {
+    const Home before = home;
+    if (!is_present(home.waits_for)) home.waits_for.clear();
+    if (!peers_.empty() && !is_peer(home.name)) {
+      if (homes.empty()) homes = wanted_homes(service, f);
+      if (home.waits_for.empty() && is_present(home.name)) home.waits_for = home.name;
+      home.name = emptiest(f, homes);
     }
+    if (home != before) moved_.insert(id);
+  }
+}
+
+void Placement::balance(Micros now, const std::string& service, Function& f) {
+  if (now - f.moved_at < kMoveEvery) return;
+  const auto& one = f.homes.begin()->second.name;
+  const bool in_one_place =
+      std::all_of(f.homes.begin(), f.homes.end(), [&](const auto& h) { return h.second.name == one; });
+  if (f.wanted <= 1 && in_one_place) return;
+  const auto homes = wanted_homes(service, f);
+  std::map<std::string, int> held;
+  for (const auto& home : homes) held[home] = 0;
+  for (const auto& [id, home] : f.homes) ++held[home.name];
+  for (int n = 0; n < kMovesAtOnce; ++n) {
+    const auto fullest =
+        std::max_element(held.begin(), held.end(), [](auto& a, auto& b) { return a.second < b.second; });
+    const auto least = emptiest(f, homes);
+    if (fullest->second - held[least] <= 1) break;
+    const auto moving = std::find_if(f.homes.begin(), f.homes.end(), [&](const auto& h) {
+      return h.second.name == fullest->first && h.second.waits_for.empty();
+    });
+    if (moving == f.homes.end()) break;
+    moving->second = {least, is_present(fullest->first) ? fullest->first : std::string()};
+    --fullest->second;
+    ++held[least];
+    f.moved_at = now;
+    moved_.insert(moving->first);
   }
-  return moved;
 }
 
 std::size_t Placement::homes_of(const std::string& service) const {
@@ -145,7 +196,7 @@
   if (found == functions_.end()) return 0;
   std::vector<std::string> names;
   for (const auto& [id, home] : found->second.homes)
-    if (std::find(names.begin(), names.end(), home) == names.end()) names.push_back(home);
+    if (std::find(names.begin(), names.end(), home.name) == names.end()) names.push_back(home.name);
   return names.size();
 }
 
--- a/src/common/messages.cpp
+++ b/src/common/messages.cpp
@@ -52,7 +52,8 @@
 
 std::uint64_t sum_of(const Instance& i) {
   std::uint64_t hash = fnv1a(i.id);
-  for (const auto* text : {&i.service, &i.address, &i.zone, &i.home}) hash = fnv1a(*text, hash * 31 + 7);
+  for (const auto* text : {&i.service, &i.address, &i.zone, &i.home, &i.waits_for})
+    hash = fnv1a(*text, hash * 31 + 7);
   return hash * 31 + i.capacity * 4 + static_cast<std::uint64_t>(i.condition);
 }
 
@@ -82,15 +83,27 @@
   term = news.term;
   version = news.board;
   if (news.peers_told) peers = news.peers;
+  take_instances(news);
+  return true;
+}
+
+void Board::take_instances(const News& news) {
+  std::map<std::string, Instance> changed;
+  for (const auto& told : news.changed) {
+    Instance& instance = changed[told.id] = told;
+    const auto held = instances.find(told.id);
+    if (!told.home.empty() || held == instances.end()) continue;
+    instance.home = held->second.home;
+    instance.waits_for = held->second.waits_for;
+  }
   if (news.whole) instances.clear();
   if (!news.buckets.empty())
     std::erase_if(instances, [&](const auto& entry) {
       const auto bucket = bucket_of(entry.first);
       return std::find(news.buckets.begin(), news.buckets.end(), bucket) != news.buckets.end();
     });
-  for (const auto& told : news.changed) instances[told.id] = told;
+  for (auto& [id, instance] : changed) instances[id] = std::move(instance);
   for (const auto& id : news.gone) instances.erase(id);
-  return true;
 }
 
 bool Board::lacks_base_of(const News& news) const {
--- a/src/common/messages.h
+++ b/src/common/messages.h
@@ -65,11 +65,14 @@
   std::uint32_t capacity = 1;
   Condition condition = Condition::starting;
   std::uint32_t up_in_ms = 0;  // starting: the mean time that it has left, when this was told
-  std::string home;            // the proxy that sends to it; empty: the one by draw (homes.h)
+  // The proxy that sends to it; empty: this holder hasn't named one yet, and one that was named before stays.
+  std::string home;
+  // The proxy that sent to it before and hasn't said that it has stopped: the home sends nothing until then.
+  std::string waits_for{};
   bool operator==(const Instance&) const = default;
   template <class A>
   void serialize(A& a) {
-    a(id, service, address, zone, machine, capacity, condition, up_in_ms, home);
+    a(id, service, address, zone, machine, capacity, condition, up_in_ms, home, waits_for);
   }
 };
 
@@ -128,9 +131,11 @@
   std::vector<std::string> reached;  // instances told as starting that have taken a connection
   std::vector<std::string> lost;     // instances that refuse connections though they had taken some
   bool leaving = false;              // told to end: no home from now on
+  std::vector<std::string>
+      released{};  // instances with another home by now, to which nothing is sent any more
   template <class A>
   void serialize(A& a) {
-    a(demand, reached, lost, leaving);
+    a(demand, reached, lost, leaving, released);
   }
 };
 
@@ -146,9 +151,10 @@
   // The highest that this agent or its proxy was ever told: above what is held after a restart.
   std::uint64_t seen_term = 0;
   Version seen_plan = 0;
+  std::uint32_t peers = 0;  // proxies on the board that it holds
   template <class A>
   void serialize(A& a) {
-    a(name, zone, proxy, term, board, plan, calls_per_s, owned, sums, seen_term, seen_plan);
+    a(name, zone, proxy, term, board, plan, calls_per_s, owned, sums, seen_term, seen_plan, peers);
   }
 };
 
@@ -178,6 +184,7 @@
 // What an agent and a proxy hold of the platform, kept by News.
 class Board {
  public:
+  // An instance whose home a new holder hasn't named keeps the one that it had.
   bool apply(const News& news);  // false: no word on peers and instances was taken
   // A newer plan is told as the difference from one that isn't held: all of it must be asked for.
   bool lacks_base_of(const News& news) const;
@@ -188,6 +195,9 @@
   std::vector<Peer> peers;
   std::map<std::string, Instance> instances;  // by id
   Plan plan;
+
+ private:
+  void take_instances(const News& news);
 };
 
 }  // namespace woadridge::common
--- a/src/controller/board.cpp
+++ b/src/controller/board.cpp
@@ -12,6 +12,7 @@
 
 constexpr Micros kFounding = 250'000;      // nobody holds a board: there is nothing to disturb ...
 constexpr Micros kTogether = 200'000;      // ... and those that start together are told together
+constexpr std::size_t kManyNew = 8;        // so many without a board, and none with one: all have begun anew
 constexpr Micros kNoNewcomer = 1'000'000;  // agents find the holder within a few tries, all at about one time
 constexpr Micros kLatest = 4'000'000;      // who isn't back by now is served by others
 
@@ -39,11 +40,12 @@
   by_version_.emplace(version_, &entry);
 }
 
-void Board::home(const std::string& id, const std::string& home) {
+void Board::home(const std::string& id, const std::string& home, const std::string& waits_for) {
   const auto at = instances_.find(id);
-  if (at == instances_.end() || at->second.instance.home == home) return;
+  if (at == instances_.end()) return;
   auto instance = at->second.instance;
   instance.home = home;
+  instance.waits_for = waits_for;
   change(instance);
 }
 
@@ -104,15 +106,18 @@
   return news;
 }
 
-void ProxyRoster::begin(Micros now) {
+void ProxyRoster::begin(Micros now, bool first) {
   *this = ProxyRoster();
+  first_ = first;
   began_ = newest_at_ = now;
 }
 
 bool ProxyRoster::settled(Micros now) {
   if (settled_) return true;
   const auto span = now - began_, calm = now - newest_at_;
-  if (earlier_) settled_ = calm >= kNoNewcomer || span >= kLatest;
+  const bool all_new = !earlier_ && entries_.size() >= kManyNew && calm >= kTogether;
+  const bool all_back = expected_ > 0 ? entries_.size() >= expected_ : all_new || calm >= kNoNewcomer;
+  if (earlier_ || !first_) settled_ = !entries_.empty() && (all_back || span >= kLatest);
   else settled_ = !entries_.empty() && span >= kFounding && (calm >= kTogether || span >= kNoNewcomer);
   return settled_;
 }
@@ -122,6 +127,7 @@
   if (entry.asked_at == 0) {
     newest_at_ = now;
     earlier_ |= ask.term > 0;
+    if (ask.term > 0) expected_ = std::max<std::size_t>(expected_, ask.peers);
   }
   if (ask.proxy.empty() || entry.ended_at > 0)
     entry.leaving = false;  // that one has ended; the next one stays
@@ -151,4 +157,11 @@
   return peers;
 }
 
+std::vector<common::Peer> ProxyRoster::present() const {
+  std::vector<common::Peer> peers;
+  for (const auto& [name, entry] : entries_)
+    if (!entry.peer.address.empty()) peers.push_back(entry.peer);
+  return peers;
+}
+
 }  // namespace woadridge::controller
--- a/src/controller/board.h
+++ b/src/controller/board.h
@@ -17,7 +17,7 @@
   void begin(std::uint64_t term);  // an empty board of a new term
   void peers(const std::vector<common::Peer>& peers);
   void change(const common::Instance& instance);
-  void home(const std::string& id, const std::string& home);  // another proxy sends to it
+  void home(const std::string& id, const std::string& home, const std::string& waits_for);
   void gone(const std::string& id);
 
   const common::Instance* find(const std::string& id) const;
@@ -51,11 +51,13 @@
 
 class ProxyRoster {  // of the proxies, by their agents' questions
  public:
-  void begin(Micros now);  // of a term: nobody is known
+  // Of a term: nobody is known. `first`: the first ever, so no proxy holds the board of an earlier one.
+  void begin(Micros now, bool first = true);
   void asked(Micros now, const common::Ask& ask);
   void leaving(const std::string& name);
   void wire_ended(Micros now, const std::string& name);
-  std::vector<common::Peer> at(Micros now);  // by name; forgets those that are gone
+  std::vector<common::Peer> at(Micros now);   // by name; forgets those that are gone
+  std::vector<common::Peer> present() const;  // the same, and those that are leaving
   // Whether those of an earlier term are back, as far as can be known: told of half of them, the proxies
   // would take the other half's functions for their own while those serve on. Once settled, it is for the
   // term.
@@ -69,6 +71,8 @@
   };
   std::map<std::string, Entry> entries_;
   Micros began_ = 0, newest_at_ = 0;  // newest_at_: the last newcomer's time
+  std::size_t expected_ = 0;          // proxies on the longest list of an earlier term
+  bool first_ = true;                 // of all terms
   bool earlier_ = false;              // someone holds the board of an earlier term
   bool settled_ = false;
 };
--- a/src/controller/duty_holder.cpp
+++ b/src/controller/duty_holder.cpp
@@ -12,6 +12,7 @@
 namespace woadridge::controller {
 namespace {
 
+constexpr std::uint64_t kFirstTerm = 1;
 constexpr double kMachinesShare = 0.3;      // of the lists' calls: machines change seldom
 constexpr Micros kListAgain = 100'000;      // after no answer: the list is what all else hangs on
 constexpr std::uint32_t kMostSlowDown = 8;  // times: three seconds between two lists, drain-ms is seldom less
@@ -85,7 +86,7 @@
   provider_.hold(term);
   board_.begin(term);
   pace_.begin();
-  proxy_roster_.begin(began_);
+  proxy_roster_.begin(began_, term == kFirstTerm);
   autoscaler_->begin(began_, term);
   placement_.begin();
   for (const auto& agent : agents_)
@@ -188,7 +189,8 @@
   if (report.leaving) proxy_roster_.leaving(agent->ask.name);
   autoscaler_->report(steady_now(), agent->ask.name, report);
   placement_.told(steady_now(), report);
-  bool urgent = !report.reached.empty() || !report.lost.empty() || report.leaving;
+  for (const auto& id : report.released) placement_.released(id, agent->ask.name);
+  bool urgent = !report.reached.empty() || !report.lost.empty() || !report.released.empty() || report.leaving;
   for (const auto& demand : report.demand) urgent |= demand.held > 0;
   const Micros gather = pace_.gather(agents_.size());
   if (urgent && gather == 0) step();
@@ -249,13 +251,14 @@
   }
   for (const auto& [id, home] : placement_.moves(now)) {
     concerns(id);
-    board_.home(id, home);
+    board_.home(id, home.name, home.waits_for);
     concerns(id);
   }
 }
 
 void DutyHolder::look_at_peers(Micros now) {
   auto peers = proxy_roster_.at(now);
+  placement_.present(proxy_roster_.present());
   if (!proxy_roster_.settled(now) || peers == board_.peers()) return;
   if (common::logs(common::Level::debug)) common::debug("proxies", {{"count", std::to_string(peers.size())}});
   board_.peers(peers);
--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -24,11 +24,13 @@
 constexpr int kMostPassedAgain = 1;      // by one that it was sent to: boards differ for a moment
 constexpr double kWindowTime =
     0.25;  // seconds of what a home bears that may be out there, of all proxies at first
-constexpr double kMostWindow = 64;       // calls of one function out at one home
-constexpr double kSlow = 2.5;            // times the usual answer's time: the home has more than it bears ...
-constexpr double kSlowLeast = 60'000;    // ... and so much beyond, in microseconds: work varies
-constexpr double kUsualWeight = 0.1;     // of a new answer's time in the usual one
-constexpr double kHomeMoved = 0.05;      // seconds, after which the new home is known
+constexpr double kMostWindow = 64;     // calls of one function out at one home
+constexpr double kSlow = 2.5;          // times the usual answer's time: the home has more than it bears ...
+constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
+constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
+constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
+constexpr Micros kLongestRelease =
+    2'000'000;                           // a call that hangs must not keep an instance from its new home
 constexpr Micros kLogEvery = 1'000'000;  // between two lines of one kind
 constexpr int kRefusalsLost = 2;         // connections in a row that one which was up refuses: it is gone
 
@@ -49,7 +51,7 @@
       space_(settings_.memory_mb),
       alarms_(strand, clock_),
       outbound_(strand, clock_, alarms_, space_),
-      view_(settings_.node_name),
+      view_(settings_.node_name, static_cast<Micros>(settings_.contact_ms) * 1000),
       random_(static_cast<unsigned>(fnv1a(settings_.node_name))),
       boot_(draw_boot(settings_.node_name)) {}
 
@@ -319,7 +321,7 @@
 }
 
 void Dispatch::told(const common::News& news) {
-  ViewChange change = view_.told(news);
+  ViewChange change = view_.told(now(), news);
   const bool holds_both = board().plan.version > 0 && board().term > 0;
   informed_ = informed_ || (holds_both && board().plan.version >= news.newest_plan);
   if (change.plan) router_.take(board().plan);
@@ -336,6 +338,26 @@
   for (const auto& service : change.functions)
     if (schedulers_.contains(service)) give_on(service);
   for (const auto& service : change.functions) requeue(service);
+  release();
+}
+
+void Dispatch::nothing_out(const std::string& instance) {
+  if (view_.to_release().contains(instance)) release();
+}
+
+void Dispatch::release() {
+  const auto waiting = view_.to_release();
+  for (const auto& [instance, since] : waiting) {
+    const auto scheduler = schedulers_.find(view_.function_of(instance));
+    const bool out = scheduler != schedulers_.end() && scheduler->second->out_at(instance) > 0;
+    if (out && now() - since < kLongestRelease) {
+      alarms_.at(since + kLongestRelease, [this] { release(); });
+      continue;
+    }
+    view_.released(instance);
+    next_.released.push_back(instance);
+    report_in(kReportSoon);
+  }
 }
 
 void Dispatch::has_news(FunctionScheduler& scheduler) {
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -49,6 +49,7 @@
   void reached(const std::string& instance);
   void refused_connection(const std::string& instance);
   void turned_away(const std::string& instance, std::size_t own_out);  // it had no room for what was sent
+  void nothing_out(const std::string& instance);                       // the last attempt there has ended
 
  private:
   const common::Peer* home(const std::string& service);  // null: this proxy
@@ -90,6 +91,7 @@
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
   void show(const std::string& service);
+  void release();  // what another home waits for, and where nothing is out any more
   void report_in(Micros span);
   void report();
   void log_homes();
--- a/src/proxy/function_scheduler.cpp
+++ b/src/proxy/function_scheduler.cpp
@@ -152,6 +152,7 @@
       std::move(request),
       [this, id = action.id, attempt](OutboundResult end) { ended(id, attempt, std::move(end)); });
   open.tries.back().outbound = number;
+  ++out_at_[action.worker];
   dispatch_.alarms().at(call.deadline - kAhead, [this, id = action.id, attempt] { time_out(id, attempt); });
 }
 
@@ -214,10 +215,8 @@
 }
 
 std::size_t FunctionScheduler::out_at(const WorkerId& instance) const {
-  std::size_t out = 0;
-  for (const auto& [id, open] : open_)
-    for (const auto& one : open.tries) out += one.outbound != 0 && one.instance == instance ? 1 : 0;
-  return out;
+  const auto found = out_at_.find(instance);
+  return found == out_at_.end() ? 0 : found->second;
 }
 
 void FunctionScheduler::time_out(RequestId id, int attempt) {
@@ -246,8 +245,11 @@
     }
   }
   const WorkerId instance = one.instance;
+  const bool last_there = --out_at_[instance] == 0;
+  if (last_there) out_at_.erase(instance);
   give(Outcome{id, attempt, instance, result, finished, {}});
   forget_if_over(id);
+  if (last_there) dispatch_.nothing_out(instance);
 }
 
 void FunctionScheduler::forget_if_over(RequestId id) {
@@ -265,7 +267,7 @@
     known.told = std::move(told);
     if (auto place = common::read_endpoint(known.told.address)) known.place = place.value();
     known.usable_from = dispatch_.usable_from(known.told);
-    if (known.usable_from > dispatch_.now())
+    if (known.usable_from > dispatch_.now() && known.usable_from != kNever)
       dispatch_.alarms().at(known.usable_from, [this] { tell_list(); });
     if (fresh) known.up_at = dispatch_.now() + static_cast<Micros>(known.told.up_in_ms) * 1000;
     if (!known.up() && known.told.condition == common::Condition::starting && !known.polling)
--- a/src/proxy/function_scheduler.h
+++ b/src/proxy/function_scheduler.h
@@ -31,6 +31,7 @@
   bool cold() const { return usable_ == 0 && held_ > 0; }
   std::size_t open() const { return open_.size(); }
   std::size_t busy() const { return busy_; }
+  std::size_t out_at(const WorkerId& instance) const;  // attempts that are not over
   const std::string& service() const { return service_; }
 
  private:
@@ -68,7 +69,6 @@
   void over(RequestId id, int attempt, Result result, bool finished);
   void answered(Open& open, Reply reply);
   void forget_if_over(RequestId id);
-  std::size_t out_at(const WorkerId& instance) const;  // attempts of this proxy that are not over
   void tell_list();
   void poll(const WorkerId& id);
   void reached(const WorkerId& id, bool up);
@@ -85,6 +85,7 @@
   std::map<RequestId, Open> open_;
   RequestId last_ = 0;
   std::map<WorkerId, Known> known_;
+  std::map<WorkerId, std::size_t> out_at_;
   std::map<std::string, double> estimates_;       // microseconds that answers took, by route and size of body
   std::size_t usable_ = 0, busy_ = 0, held_ = 0;  // held: of those with no attempt out
   common::Demand demand_;                         // since the last report
--- a/src/proxy/home_history.h
+++ b/src/proxy/home_history.h
@@ -19,6 +19,7 @@
 
 struct HomeEntry {
   std::string home, before;  ///< proxies by name; before: empty where none is known
+  std::string waits_for;     ///< the proxy that has to stop first; empty: none
   HomeReason reason = HomeReason::drawn;
   Micros since = 0;        ///< when this proxy saw the change
   Micros usable_from = 0;  ///< if this proxy is the home: not before
@@ -34,8 +35,8 @@
  public:
   explicit HomeHistory(std::string own) : own_(std::move(own)) {}
 
-  /// The entry of an instance whose home may have changed; true: it has.
-  bool see(Micros now, const std::string& instance, const std::string& home);
+  /// The entry of an instance whose home, or whom that waits for, may have changed; true: it has.
+  bool see(Micros now, const std::string& instance, const std::string& home, const std::string& waits_for);
   void reason(const std::string& instance, HomeReason reason) { entries_[instance].reason = reason; }
   void usable_from(const std::string& instance, Micros at) { entries_[instance].usable_from = at; }
   void forget(const std::string& instance) { entries_.erase(instance); }
--- a/src/proxy/home_view.cpp
+++ b/src/proxy/home_view.cpp
@@ -8,13 +8,14 @@
 namespace woadridge::proxy {
 namespace {
 
-constexpr Micros kSettleUnknown = 400'000;  // where it isn't known whether anybody still sends
-constexpr Micros kSettle = 700'000;  // some works of an instance: what its last home has out there ends
+constexpr Micros kSettle = 400'000;  // some works of an instance: what one that is gone has out there ends
 
 }  // namespace
 
-ViewChange HomeView::told(const common::News& news) {
+ViewChange HomeView::told(Micros now, const common::News& news) {
   ViewChange change;
+  const bool first_board = board_.term == 0;
+  const bool other_term = news.term != board_.term;
   change.peers = news.peers_told && news.peers != board_.peers;
   const auto plan_before = board_.plan.version;
   change.taken = board_.apply(news);
@@ -27,20 +28,31 @@
     for (const auto& id : gone) forget(id, change);
   }
   for (const auto& id : news.gone) forget(id, change);
-  for (const auto& instance : news.changed) {
-    change.functions.insert(instance.service);
-    function_of_[instance.id] = instance.service;
-    instances_[instance.service][instance.id] = instance;
-  }
   if (change.peers) {
     draws_.clear();
     down_until_.clear();
     peer_at_.clear();
     for (std::size_t at = 0; at < board_.peers.size(); ++at) peer_at_[board_.peers[at].name] = at;
   }
+  for (const auto& told : news.changed) {
+    const auto& instance = board_.instances.at(told.id);
+    change.functions.insert(instance.service);
+    function_of_[instance.id] = instance.service;
+    instances_[instance.service][instance.id] = instance;
+    note(now, instance, first_board);
+    if (instance.waits_for == own_) to_release_.emplace(instance.id, now);
+    else to_release_.erase(instance.id);
+  }
+  if (other_term) ask_for_releases(now);
   return change;
 }
 
+// A new holder has heard of none that was told to the one before.
+void HomeView::ask_for_releases(Micros now) {
+  for (const auto& [id, instance] : board_.instances)
+    if (instance.waits_for == own_) to_release_.emplace(id, now);
+}
+
 void HomeView::forget(const std::string& instance, ViewChange& change) {
   const auto found = function_of_.find(instance);
   if (found == function_of_.end()) return;
@@ -49,6 +61,7 @@
   instances_[found->second].erase(instance);
   function_of_.erase(found);
   history_.forget(instance);
+  to_release_.erase(instance);
 }
 
 bool HomeView::is_down(Micros now, const std::string& peer) const {
@@ -130,26 +143,36 @@
   return entry == nullptr ? 0 : entry->usable_from;
 }
 
+void HomeView::note(Micros now, const common::Instance& instance, bool first_board) {
+  const auto* peer = owner(now, instance);
+  const auto& name = peer == nullptr ? own_ : peer->name;
+  const bool changed = history_.see(now, instance.id, name, instance.waits_for);
+  if (!changed && usable_from(instance.id) != kNever) return;
+  history_.reason(instance.id, reason_for(now, instance, name));
+  history_.usable_from(instance.id, usable_at(now, instance, first_board));
+}
+
+Micros HomeView::usable_at(Micros now, const common::Instance& instance, bool first_board) const {
+  const bool knows_proxies = !board_.peers.empty();
+  if (instance.home.empty() || (instance.home != own_ && !knows_proxies)) return kNever;
+  if (!instance.waits_for.empty() && instance.waits_for != own_) return now + longest_hand_over_;
+  if (instance.home != own_) return now + settle_after(now, history_.find(instance.id)->before);
+  // An earlier life of this process may have calls out.
+  const bool alone = board_.peers.size() == 1;
+  if (first_board) return alone ? now : now + kSettle;
+  return now + settle_after(now, history_.find(instance.id)->before);
+}
+
+// Who is on the list has stopped, and has said so; who isn't may have died, or have been told to end.
 Micros HomeView::settle_after(Micros now, const std::string& before) const {
-  if (is_down(now, before)) return 0;  // what it had out has ended with it
-  if (peer_at_.contains(before)) return kSettle;
-  // It may have been told to end, and then it still has calls out, or have died.
-  return !before.empty() || board_.peers.size() > 1 ? kSettleUnknown : 0;
+  return before.empty() || peer_at_.contains(before) || is_down(now, before) ? 0 : kSettle;
 }
 
-// Guards against two homes that send to one instance at once: what an earlier one, which is still there, has
-// out at it ends first.
 std::vector<common::Instance> HomeView::own(Micros now, const std::string& function) {
   std::vector<common::Instance> mine;
   for (const auto& [id, instance] : instances_[function]) {
-    const auto* peer = owner(now, instance);
-    const auto& name = peer == nullptr ? own_ : peer->name;
-    const bool moved = history_.see(now, id, name);
-    const bool serves = instance.condition == common::Condition::ready;
-    if (moved) history_.reason(id, reason_for(now, instance, name));
-    if (moved && peer == nullptr && serves)
-      history_.usable_from(id, now + settle_after(now, history_.find(id)->before));
-    if (peer == nullptr) mine.push_back(instance);
+    note(now, instance, false);
+    if (owner(now, instance) == nullptr) mine.push_back(instance);
   }
   return mine;
 }
--- a/tests/platform/handover/handover_world.h
+++ b/tests/platform/handover/handover_world.h
@@ -67,6 +67,7 @@
   void tell(std::size_t proxy);
   void hear(std::size_t proxy, std::uint64_t life, const common::News& news);
   void send(std::size_t proxy);
+  void release(std::size_t proxy);
   void attempt(std::size_t proxy, const common::Instance& instance);
 
   std::mt19937_64 random_;
--- a/tests/platform/proxy/front_test.cpp
+++ b/tests/platform/proxy/front_test.cpp
@@ -121,6 +121,8 @@
     news.plan.routes = {{"read", "h.example", "/r/", "fn", true, 4000, 400, 1, 2},
                         {"write", "h.example", "/w/", "fn", false, 4000, 400, 1, 2}};
     news.plan.services = {{"fn", "", 100, 128, 900, 1}};
+    for (auto& instance : instances)
+      if (instance.home.empty()) instance.home = peers.front().name;
     news.peers = std::move(peers);
     news.changed = std::move(instances);
     dispatch->told(news);
