A peer that doesn't take a connection in time keeps its instances

The peer was only busy and sent on.

Now only a refused connection says that the peer's process has ended. Behind a silent one calls ask once more, and are then refused at once with when to come back, or go to another home of the function; the holder says when the peer is gone. A timer that fires late because this process was held up isn't taken for the other's silence.

Two tests of the proxy failed before: the instance of a home with a full queue of connections was asked once and answered 200 through the wrong proxy; so was that of a home that broke off a connection.

--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -12,7 +12,7 @@
 
 constexpr Micros kPeerDown =
     1'000'000;  // a peer that refused a connection; the board says soon whether it is gone
-constexpr Micros kPeerShaken = 300'000;  // one that broke one off
+constexpr Micros kPeerSilent = 300'000;  // one that took no connection in time
 constexpr Micros kReportEvery = 250'000;
 constexpr Micros kReportSoon =
     2'000;  // a held call without an instance: together with those of the same moment
@@ -28,7 +28,9 @@
 constexpr double kSlow = 2.5;          // times the usual answer's time: the home has more than it bears ...
 constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
 constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
-constexpr double kHomeMoved = 0.05;    // seconds, after which the new home is known
+constexpr int kAsksAgain = 1;  // the times that a call was passed on which is let through to a silent peer
+constexpr double kSilentAgain = 0.3;  // seconds, after which a silent peer is tried again
+constexpr double kHomeMoved = 0.05;   // seconds, after which the new home is known
 constexpr Micros kLongestRelease =
     2'000'000;                           // a call that hangs must not keep an instance from its new home
 constexpr Micros kLogEvery = 1'000'000;  // between two lines of one kind
@@ -69,6 +71,7 @@
 const common::Peer* Dispatch::pick_home(const std::vector<HomeGroup>& all, const std::string& service) {
   const bool any_up = std::any_of(all.begin(), all.end(), [](const HomeGroup& g) { return g.up > 0; });
   const auto has_room = [&](const HomeGroup& g) {
+    if (is_silent(g.peer->name)) return false;
     const auto found = windows_.find({service, g.peer->name});
     return found == windows_.end() || static_cast<double>(found->second.out) < found->second.size;
   };
@@ -166,7 +169,11 @@
   // From a peer: this is its home, or was a moment ago.
   const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
   if (call->passed_on < most && !(call->from_peer && here)) {
-    if (const common::Peer* peer = home(call->service); peer != nullptr) return queue(std::move(call), *peer);
+    if (const common::Peer* peer = home(call->service); peer != nullptr) {
+      // Who has just met the silence asks once more: a lost opening packet shows in the same way.
+      if (is_silent(peer->name) && call->passed_on != kAsksAgain) return refuse(call, kSilentAgain);
+      return queue(std::move(call), *peer);
+    }
   }
   // It may go no further: held here it would wait until its deadline for instances that another sends to.
   if (!here) return refuse(call, kHomeMoved);
@@ -292,9 +299,7 @@
   if (end.boot != 0) boots_[pass->peer] = end.boot;
   answered_by(pass->peer, call->service, now() - pass->sent, answers && end.status != 503);
   if (answers) pump(pass->peer, call->service);
-  else if (end.how == How::refused) shaken(pass->peer, kPeerDown, "refused");
-  else if (end.how == How::no_connection) shaken(pass->peer, kPeerDown, "silent");
-  else shaken(pass->peer, kPeerShaken, "broken off");
+  else unreachable(pass->peer, end.how);
   switch (next) {
     case PassEnd::pass_along:
       return answer(call,
@@ -308,16 +313,39 @@
   }
 }
 
-void Dispatch::shaken(const std::string& peer, Micros span, std::string_view why) {
+void Dispatch::unreachable(const std::string& peer, OutboundResult::How how) {
+  using How = OutboundResult::How;
+  if (how != How::refused && how != How::no_connection) return;  // a connection that broke off says little
+  const bool refused = how == How::refused;
+  const bool news = refused ? !view_.is_down(now(), peer) : !is_silent(peer);
+  if (news)
+    common::info("a proxy can't be reached", {{"proxy", peer},
+                                              {"why", refused ? "refused" : "silent"},
+                                              {"proxies", std::to_string(board().peers.size())},
+                                              {"term", std::to_string(board().term)}});
+  if (refused) gone(peer);
+  else silent(peer);
+}
+
+void Dispatch::gone(const std::string& peer) {
   const bool news = !view_.is_down(now(), peer);
-  view_.down(peer, now() + span);
+  view_.down(peer, now() + kPeerDown);
   if (!news) return;
-  common::info("a proxy can't be reached", {{"proxy", peer},
-                                            {"why", std::string(why)},
-                                            {"proxies", std::to_string(board().peers.size())},
-                                            {"term", std::to_string(board().term)}});
   owners_changed();
-  alarms_.at(now() + span + 1000, [this] { owners_changed(); });
+  alarms_.at(now() + kPeerDown + 1000, [this] { owners_changed(); });
+}
+
+void Dispatch::silent(const std::string& peer) {
+  silent_until_[peer] = now() + kPeerSilent;
+  std::vector<std::string> waiting;
+  for (const auto& [key, at] : windows_)
+    if (key.second == peer && !at.waiting.empty()) waiting.push_back(key.first);
+  for (const auto& service : waiting) requeue(service);
+}
+
+bool Dispatch::is_silent(const std::string& peer) const {
+  const auto found = silent_until_.find(peer);
+  return found != silent_until_.end() && found->second > now();
 }
 
 void Dispatch::told(const common::News& news) {
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -86,7 +86,10 @@
   void pass_on(CallRef call, const common::Peer& peer);
   void send(const PassRef& pass);
   void ended(const PassRef& pass, OutboundResult end);
-  void shaken(const std::string& peer, Micros span, std::string_view why);
+  void unreachable(const std::string& peer, OutboundResult::How how);
+  void gone(const std::string& peer);    // its process has ended: the next in order is home meanwhile
+  void silent(const std::string& peer);  // it may only be busy, and send to its instances
+  bool is_silent(const std::string& peer) const;
   void answered_by(const std::string& peer, const std::string& service, Micros took, bool served);
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
@@ -119,6 +122,7 @@
   std::int64_t boot_;
   std::uint64_t passes_ = 0;
   std::map<std::string, std::uint64_t> boots_;  // by peer, as their answers say
+  std::map<std::string, Micros> silent_until_;  // peers
   TurnedAway turned_away_;
   Micros homes_logged_at_ = 0;
   bool homes_log_due_ = false;
--- a/src/proxy/outbound.cpp
+++ b/src/proxy/outbound.cpp
@@ -15,6 +15,7 @@
 
 constexpr Micros kConnect =
     400'000;  // on links of tens of milliseconds: a lost opening packet is tried elsewhere
+constexpr Micros kStoodStill = 50'000;     // a timer so late: this process was held up, not the other
 constexpr std::uint32_t kSilence = 1500;   // milliseconds in which a peer without power is noticed
 constexpr Micros kIdleUntold = 4'000'000;  // a kept connection whose other end said no time
 constexpr double kIdlePart = 0.7;          // of the time that was said: a request must not cross the close
@@ -71,10 +72,7 @@
     socket_.open(net::Tcp::v4(), fault);
     if (!fault) common::watch_for_silence(socket_, kSilence);
     auto self = shared_from_this();
-    limit_.expires_after(std::chrono::microseconds(limit));
-    limit_.async_wait([self](Fault stopped) {
-      if (!stopped && !self->connected_) self->fail(OutboundResult::How::no_connection);
-    });
+    limit_connect(limit, true);
     socket_.async_connect(common::endpoint_of(place_), [self](Fault failed) {
       if (self->closed_) return;
       if (failed == boost::asio::error::connection_refused) return self->fail(OutboundResult::How::refused);
@@ -125,6 +123,17 @@
   const common::Endpoint& place() const { return place_; }
 
  private:
+  void limit_connect(Micros limit, bool may_wait_on) {
+    const Micros due = all_.clock_.now() + limit;
+    limit_.expires_after(std::chrono::microseconds(limit));
+    limit_.async_wait([self = shared_from_this(), due, may_wait_on](Fault stopped) {
+      if (stopped || self->connected_ || self->closed_) return;
+      const bool stood_still = self->all_.clock_.now() - due > kStoodStill;
+      if (stood_still && may_wait_on) return self->limit_connect(kStoodStill, false);
+      self->fail(OutboundResult::How::no_connection);
+    });
+  }
+
   void write() {
     while (!exchange_.all_sent()) {
       Fault fault;
--- a/tests/platform/proxy/front_test.cpp
+++ b/tests/platform/proxy/front_test.cpp
@@ -289,6 +289,40 @@
   STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x").c_str());
 }
 
+// Guards against two senders: a peer that is only busy goes on sending to its instances.
+TEST(Front, AHomeThatDoesNotTakeAConnectionInTimeKeepsItsInstances) {
+  Played one(loop);
+  one.answers = {kGood, kGood, kGood};
+  tcp::acceptor busy(loop);
+  busy.open(tcp::v4());
+  busy.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  busy.listen(0);
+  std::vector<tcp::socket> waiting;  // the queue of new connections is full
+  for (int n = 0; n < 4; ++n) {
+    waiting.emplace_back(loop).async_connect(busy.local_endpoint(), [](boost::system::error_code) {});
+  }
+  const auto place = "127.0.0.1:" + std::to_string(busy.local_endpoint().port());
+  auto instance = at(one, "i-1");
+  instance.home = "other";
+  plan_and({instance}, {{"me", "a", ""}, {"other", "a", place}});
+  const auto answer = ask("POST /w/x");
+  STRCMP_CONTAINS("HTTP/1.1 503", answer.c_str());
+  STRCMP_CONTAINS("Retry-After: 0.", answer.c_str());
+  LONGS_EQUAL(0, one.asked.size());
+}
+
+TEST(Front, AHomeThatBreaksOffAConnectionKeepsItsInstances) {
+  Played one(loop), other(loop);
+  one.answers = {kGood};
+  other.answers = {"", kGood};
+  auto instance = at(one, "i-1");
+  instance.home = "other";
+  plan_and({instance}, {{"me", "a", ""}, {"other", "a", other.address()}});
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("GET /r/x").c_str());
+  LONGS_EQUAL(0, one.asked.size());
+  LONGS_EQUAL(2, other.asked.size());
+}
+
 // Guards against calls that wait until their deadline at a proxy that no instance is given to.
 TEST(Front, ACallThatMayGoNoFurtherIsRefusedAtOnceWhereItIsNotAtHome) {
   Played other(loop);
