--- a/src/proxy/home_view.h
+++ b/src/proxy/home_view.h
@@ -35,7 +35,7 @@
  public:
   /// `longest_hand_over`: an instance is used after so long though the home before it hasn't said that it has
   /// stopped. It is out of touch by then, or the word of it is lost.
-  explicit HomeView(std::string own, Micros longest_hand_over = 6'000'000)
+  HomeView(std::string own, Micros longest_hand_over)
       : own_(std::move(own)), longest_hand_over_(longest_hand_over), history_(own_) {}
 
   ViewChange told(Micros now, const common::News& news);
--- a/tests/platform/agent/pending_test.cpp
+++ b/tests/platform/agent/pending_test.cpp
@@ -69,3 +69,15 @@
   LONGS_EQUAL(Pending::kMostIds, report.lost.size());
   STRCMP_EQUAL("r19999", report.reached.back().c_str());
 }
+
+TEST(Pending, keeps_what_was_released_once) {
+  Pending pending;
+  Report report;
+  report.released = {"i-1", "i-2"};
+  pending.add(1, report);
+  pending.add(2, report);
+  CHECK_FALSE(pending.empty());
+  const auto taken = pending.take(3);
+  UNSIGNED_LONGS_EQUAL(2, taken.released.size());
+  CHECK(pending.empty());
+}
--- a/tests/platform/autoscaler/board_test.cpp
+++ b/tests/platform/autoscaler/board_test.cpp
@@ -119,6 +119,34 @@
   CHECK_EQUAL(version, board.version());
 }
 
+// Guards against a new holder that takes an instance from its home by not knowing it.
+TEST(Board, AnInstanceWithoutANamedHomeKeepsTheOneBefore) {
+  common::Instance instance;
+  instance.id = "i";
+  instance.home = "p";
+  instance.waits_for = "q";
+  controller::Board before, after;
+  before.begin(1);
+  before.change(instance);
+  common::Board agent;
+  agent.apply(before.since(0, 0));
+  instance.home = instance.waits_for = "";
+  instance.condition = common::Condition::ready;
+  after.begin(2);
+  after.change(instance);
+  for (const auto& news : {after.rebase(agent.sums()), after.since(0, 0)}) {
+    common::Board told = agent;
+    told.apply(news);
+    STRCMP_EQUAL("p", told.instances.at("i").home.c_str());
+    STRCMP_EQUAL("q", told.instances.at("i").waits_for.c_str());
+    CHECK(told.instances.at("i").condition == common::Condition::ready);
+  }
+  after.home("i", "r", "");
+  agent.apply(after.since(0, 0));
+  STRCMP_EQUAL("r", agent.instances.at("i").home.c_str());
+  STRCMP_EQUAL("", agent.instances.at("i").waits_for.c_str());
+}
+
 TEST_GROUP(ProxyRoster) {
   controller::ProxyRoster roll;
   common::Ask ask(const char* name, const char* proxy) {
@@ -178,3 +206,33 @@
   CHECK(!roll.settled(1'550'000));
   CHECK(roll.settled(1'700'000));
 }
+
+TEST(ProxyRoster, AsManyAsTheEarlierListHeldAreWaitedFor) {
+  roll.begin(1'000'000, false);
+  auto first = ask("p", "1:1");
+  first.term = 4;
+  first.peers = 3;
+  roll.asked(1'100'000, first);
+  roll.asked(1'200'000, ask("q", "1:2"));
+  CHECK(!roll.settled(4'900'000));
+  roll.asked(4'910'000, ask("r", "1:3"));
+  CHECK(roll.settled(4'910'000));
+}
+
+TEST(ProxyRoster, OneThatIsMissingIsNotWaitedForWithoutEnd) {
+  roll.begin(1'000'000, false);
+  auto first = ask("p", "1:1");
+  first.term = 4;
+  first.peers = 3;
+  roll.asked(1'100'000, first);
+  CHECK(!roll.settled(4'900'000));
+  CHECK(roll.settled(5'000'000));
+}
+
+// Guards against a proxy that has begun anew, finds a new holder first and is taken for all there are.
+TEST(ProxyRoster, AfterTheFoundingOneThatHoldsNothingIsNotAll) {
+  roll.begin(1'000'000, false);
+  roll.asked(1'100'000, ask("p", "1:1"));
+  CHECK(!roll.settled(1'900'000));
+  CHECK(roll.settled(2'100'000));
+}
--- a/tests/platform/autoscaler/placement_test.cpp
+++ b/tests/platform/autoscaler/placement_test.cpp
@@ -105,3 +105,54 @@
   pass(300, 3);
   CHECK(homes() == 6);
 }
+
+TEST(Placement, AnInstanceThatMovesWaitsForTheHomeBeforeUntilThatHasStoppedOrIsGone) {
+  peers(9);
+  for (int n = 0; n < 2; ++n) start("i" + std::to_string(n));
+  const auto first = board["i0"];
+  std::vector<common::Peer> others;
+  for (const auto& peer : all_peers)
+    if (peer.name != first) others.push_back(peer);
+  placement.peers(others, 50);  // it is told to end, and is linked still
+  const auto moves = placement.moves(now);
+  UNSIGNED_LONGS_EQUAL(2, moves.size());
+  for (const auto& [id, home] : moves) {
+    CHECK(home.name != first);
+    STRCMP_EQUAL(first.c_str(), home.waits_for.c_str());
+  }
+  placement.released("i0", "another");
+  CHECK(placement.moves(now).empty());
+  placement.released("i0", first);
+  auto after = placement.moves(now);
+  UNSIGNED_LONGS_EQUAL(1, after.size());
+  STRCMP_EQUAL("i0", after[0].instance.c_str());
+  STRCMP_EQUAL("", after[0].home.waits_for.c_str());
+  placement.present(others);
+  after = placement.moves(now);
+  UNSIGNED_LONGS_EQUAL(1, after.size());
+  STRCMP_EQUAL("i1", after[0].instance.c_str());
+  STRCMP_EQUAL("", after[0].home.waits_for.c_str());
+}
+
+TEST(Placement, WhatANewTermFindsIsNamedOnceTheProxiesAreBack) {
+  common::Instance found, own;
+  found.service = own.service = "f";
+  found.id = "found";
+  found.condition = common::Condition::ready;
+  own.id = "own";
+  own.condition = common::Condition::starting;
+  placement.present({{"p0", "a", ""}});
+  placement.place(now, found);
+  placement.place(now, own);
+  STRCMP_EQUAL("", found.home.c_str());
+  STRCMP_EQUAL("p0", own.home.c_str());
+  placement.held("found", "p1");  // its home comes, and says so
+  const auto moves = placement.moves(now);
+  UNSIGNED_LONGS_EQUAL(1, moves.size());
+  STRCMP_EQUAL("p1", moves[0].home.name.c_str());
+  placement.held("found", "p0");  // one that comes late: both would send
+  const auto late = placement.moves(now);
+  UNSIGNED_LONGS_EQUAL(1, late.size());
+  STRCMP_EQUAL("p1", late[0].home.name.c_str());
+  STRCMP_EQUAL("p0", late[0].home.waits_for.c_str());
+}
--- a/tests/platform/handover/handover_world.cpp
+++ b/tests/platform/handover/handover_world.cpp
@@ -23,7 +23,7 @@
   for (std::size_t n = 0; n < proxies; ++n) {
     auto& proxy = proxies_.emplace_back();
     proxy.name = "p" + std::to_string(n);
-    proxy.view = proxy::HomeView(proxy.name);
+    proxy.view = proxy::HomeView(proxy.name, kLongestHandOver);
   }
   for (std::size_t n = 0; n < instances; ++n)
     instances_.push_back(
@@ -99,7 +99,7 @@
   auto& proxy = proxies_[n];
   for (const auto& [id, count] : proxy.out) out_[id] -= count;  // its connections end with it
   proxy.out.clear();
-  proxy.view = proxy::HomeView(proxy.name);
+  proxy.view = proxy::HomeView(proxy.name, kLongestHandOver);
   proxy.linked = proxy.leaving = false;
   ++proxy.life;
   roster_.wire_ended(now, proxy.name);
--- a/tests/platform/handover/handover_world.h
+++ b/tests/platform/handover/handover_world.h
@@ -17,6 +17,7 @@
 namespace woadridge::handover {
 
 constexpr Micros kMs = 1000, kSecond = 1'000'000;
+constexpr Micros kLongestHandOver = 6 * kSecond;
 
 struct Delays {  // of one piece of news or one report
   Micros least = 5 * kMs, most = 40 * kMs;
@@ -40,7 +41,7 @@
  private:
   struct Proxy {
     std::string name;
-    proxy::HomeView view{""};
+    proxy::HomeView view{"", kLongestHandOver};
     Delays delays;
     bool linked = false, told = true, leaving = false;  // told: no news is on its way
     std::uint64_t life = 0;
