--- a/lab/platform/command.cpp
+++ b/lab/platform/command.cpp
@@ -32,6 +32,7 @@
   replacements_->add_option("--jobs", replacement_call_.jobs, "cells at a time")
       ->check(CLI::Range(1, 256))
       ->capture_default_str();
+  add_soak();
   auto* up = up_ = platform_->add_subcommand(
       "up", "start all of it on loopback, with a configuration in force; Ctrl-C ends it");
   up->add_option("--core", layout.cores, "core machines")->check(CLI::Range(1, 9))->capture_default_str();
@@ -64,7 +65,49 @@
                "send a few requests, tell how long they took, and end; status 1: a fault");
 }
 
+void Command::add_soak() {
+  auto& call = soak_call_;
+  auto& nodes = call.nodes;
+  // As a large fleet of thin machines is told.
+  nodes.lag_ms = 800, nodes.drain_ms = 5000, nodes.contact_ms = 6000, nodes.apply_ms = 5000;
+  nodes.rate_per_s = 54, nodes.duty_per_s = 510;
+  nodes.edge_processor = 0.12, nodes.core_processor = 0.15, nodes.edge_link_mbps = 2;
+  call.layout.edges = 8;
+  call.layout.net = "127.0.2";
+  auto* soak = soak_ = platform_->add_subcommand(
+      "soak",
+      "real processes through days of troubles that are drawn from a seed; status 1: a rule is broken");
+  soak->add_option("--seed", call.day.seed, "of the first run")->required();
+  soak->add_option("--runs", call.runs, "each with the next seed")->check(CLI::Range(1, 10'000));
+  soak->add_option_function<int>(
+          "--seconds", [&call](int seconds) { call.day.length = Millis(seconds * 1000); },
+          "of a run, before all processes are killed (34)")
+      ->check(CLI::Range(16, 3600));
+  soak->add_option("--cores", call.layout.cores, "core machines")
+      ->check(CLI::Range(3, 9))
+      ->capture_default_str();
+  soak->add_option("--edges", call.layout.edges)->check(CLI::Range(2, 74))->capture_default_str();
+  soak->add_option("--functions", call.functions)->check(CLI::Range(3, 2000))->capture_default_str();
+  soak->add_option("--rate", call.requests_per_s, "requests a second")
+      ->check(CLI::Range(1.0, 5000.0))
+      ->capture_default_str();
+  soak->add_flag("!--core-only", call.day.edges_suffer, "no troubles of edges before the end");
+  soak->add_flag("--quotas", call.quotas, "each process gets the part of a core that its settings name");
+  soak->add_flag("--keep", call.keep, "the logs of clean runs, too");
+  soak->add_option("--dir", folder_, "of the logs (default: one under /tmp)");
+  soak->add_option("--net", call.layout.net, "the first three parts of all addresses")->capture_default_str();
+  soak->add_option("--programs", programs_, "the folder of proxy, agent and controller")
+      ->capture_default_str();
+  soak->add_flag("--debug", debug_, "the programs log all that they have");
+}
+
 int Command::run(const std::atomic<bool>& stop) {
+  if (soak_->parsed()) {
+    soak_call_.nodes.folder = folder_;
+    soak_call_.nodes.programs = programs_;
+    if (debug_) soak_call_.nodes.log_level = "debug";
+    return soak::run_soak(soak_call_, stop);
+  }
   if (replacements_->parsed()) return sim::run_replacements(replacement_call_);
   if (!up_->parsed()) {
     if (chain_.file.empty()) throw CLI::RequiredError("platform: a scenario, or up");
--- a/lab/platform/command.h
+++ b/lab/platform/command.h
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "lab/platform/sim/chain.h"
+#include "lab/platform/soak/soak.h"
 #include "lab/platform/trial.h"
 
 namespace woadridge::lab::platform {
@@ -16,10 +17,13 @@
   int run(const std::atomic<bool>& stop);
 
  private:
-  CLI::App *platform_, *up_, *replacements_;
+  void add_soak();
+
+  CLI::App *platform_, *up_, *replacements_, *soak_;
   sim::ChainCall chain_;
   sim::ReplacementsCall replacement_call_;
   TrialCall call_;
+  soak::SoakCall soak_call_;
   std::string folder_, programs_;
   bool debug_ = false;
 };
--- a/lab/platform/instances.cpp
+++ b/lab/platform/instances.cpp
@@ -80,17 +80,25 @@
     };
     if (attempt.empty()) return turn_away(400, "no attempt id");
     if (!target.empty() && target != id_) {
+      arrived(visit, attempt, Arrival::Kind::misdirected);
       ++owner_.deeds_.misdirected;
       return turn_away(421, "another instance");
     }
     if (busy_ >= capacity_) {
+      arrived(visit, attempt, Arrival::Kind::full);
       ++owner_.deeds_.full;
       return turn_away(503, "full");
     }
     run(visit, attempt, lines);
   }
 
+  void arrived(const Door::VisitRef& visit, const std::string& attempt, Arrival::Kind kind) const {
+    if (!owner_.on_arrival_) return;
+    owner_.on_arrival_({attempt, id_, service_, visit->target(), owner_.clock_.now(), kind});
+  }
+
   void run(const Door::VisitRef& visit, const std::string& attempt, const std::string& lines) {
+    arrived(visit, attempt, Arrival::Kind::ran);
     ++busy_;
     ++owner_.deeds_.runs[attempt];
     const Micros deadline = deadline_of(visit->header(kDeadlineMs));
@@ -139,8 +147,13 @@
   bool leaving_ = false, dropped_ = false, told_ = false;
 };
 
-Instances::Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed)
-    : strand_(strand), clock_(clock), work_(work), on_freed_(std::move(on_freed)) {}
+Instances::Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed,
+                     OnArrival on_arrival)
+    : strand_(strand),
+      clock_(clock),
+      work_(work),
+      on_freed_(std::move(on_freed)),
+      on_arrival_(std::move(on_arrival)) {}
 
 Instances::~Instances() {
   drop();
--- a/lab/platform/instances.h
+++ b/lab/platform/instances.h
@@ -2,6 +2,7 @@
 // remember of them for those who check.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +21,15 @@
 // Belongs to one instance, one attempt and one body.
 std::string seal_of(const std::string& instance, const std::string& attempt, const std::string& body);
 
+/// A request that came to an instance.
+struct Arrival {
+  enum class Kind { ran, full, misdirected };  ///< the last two: turned away
+  std::string attempt, instance, service, path;
+  Micros at = 0;
+  Kind kind = Kind::ran;
+};
+using OnArrival = std::function<void(const Arrival&)>;
+
 struct Deeds {                      // of all instances
   std::map<std::string, int> runs;  // by attempt
   int full = 0;                     // turned away: all slots were in use
@@ -30,7 +40,9 @@
  public:
   using OnFreed = std::function<void(const std::string& id)>;
 
-  Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed);
+  /// `on_arrival` may be empty.
+  Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed,
+            OnArrival on_arrival = {});
   ~Instances();
 
   void begin(const Life& life, std::size_t most_conns);  // listens once it has started
@@ -45,6 +57,7 @@
   const net::Clock& clock_;
   Micros work_;
   OnFreed on_freed_;
+  OnArrival on_arrival_;
   std::map<std::string, std::shared_ptr<Instance>> all_;  // by id
   Deeds deeds_;
 };
--- a/lab/platform/nodes.cpp
+++ b/lab/platform/nodes.cpp
@@ -16,8 +16,9 @@
 
 constexpr int kInternal = 16;       // ports that each node keeps for the platform's own
 constexpr int kFirstInstance = 30;  // of the ports
-constexpr Millis kStartAgain{300};  // after a process has ended by itself
 constexpr Millis kLookEvery{10};
+constexpr Millis kPeriod{100};  // in which a process may use its part of a core
+constexpr double kCoreLinkMbps = 1000;
 
 std::string quoted(const std::string& text) {
   return "\"" + text + "\"";
@@ -51,7 +52,7 @@
 }
 
 Nodes::Nodes(Layout layout, NodeOptions options) : layout_(std::move(layout)), options_(std::move(options)) {
-  for (const char* program : {"woadridge-controller", "woadridge-agent", "woadridge-proxy"})
+  for (const char* program : {kController, kAgent, kProxy})
     if (::access((options_.programs / program).c_str(), X_OK) != 0)
       throw std::runtime_error((options_.programs / program).string() +
                                ": no program there (--programs names the folder of a build with "
@@ -61,47 +62,92 @@
 
 void Nodes::start() {
   for (int n = 0; n < layout_.cores; ++n) {
-    const auto disk = options_.folder / ("core-" + std::to_string(n + 1)) / "disk";
-    fs::create_directories(disk);
-    bootstrap_ = bootstrap_ && fs::is_empty(disk);
-  }
-  for (int n = 0; n < layout_.cores; ++n) {
-    const std::string name = "core-" + std::to_string(n + 1);
-    add("woadridge-controller", name, settings_of(name, "core", true, n));
+    fs::create_directories(disk(n));
+    bootstrap_ = bootstrap_ && fs::is_empty(disk(n));
   }
+  for (int n = 0; n < layout_.cores; ++n) add(kController, "core", true, n);
   for (int n = 0; n < layout_.edges; ++n) {
-    const std::string name = "edge-" + std::to_string(n + 1);
-    add("woadridge-agent", name, settings_of(name, "agent", false, n));
-    add("woadridge-proxy", name, settings_of(name, "proxy", false, n));
+    add(kAgent, "agent", false, n);
+    add(kProxy, "proxy", false, n);
   }
+  write_settings();
   for (auto& node : nodes_) launch(node);
 }
 
-void Nodes::add(const std::string& program, const std::string& node, const std::string& settings) {
-  const auto folder = options_.folder / node;
+fs::path Nodes::disk(int core) const {
+  return options_.folder / ("core-" + std::to_string(core + 1)) / "disk";
+}
+
+void Nodes::add(const std::string& program, const std::string& role, bool core, int number) {
+  const std::string name = (core ? "core-" : "edge-") + std::to_string(number + 1);
+  const auto folder = options_.folder / name;
   fs::create_directories(folder);
-  const auto path = folder / (program + ".toml");
-  std::ofstream file(path, std::ios::binary);
-  file << settings;
-  file.close();
-  if (!file) throw std::runtime_error(path.string() + ": cannot be written");
-  nodes_.push_back({node + " " + program, program, path.string(), std::make_unique<Process>(), {}});
+  Node node{name,
+            program,
+            role,
+            (folder / (program + ".toml")).string(),
+            core,
+            number,
+            std::make_unique<Process>()};
+  nodes_.push_back(std::move(node));
+}
+
+void Nodes::write_settings() {
+  for (const auto& node : nodes_) {
+    const std::string beside = node.settings + ".new";  // a reader sees the old file or the new one
+    std::ofstream file(beside, std::ios::binary);
+    file << settings_of(node.name, node.role, node.core, node.number);
+    file.close();
+    if (!file) throw std::runtime_error(beside + ": cannot be written");
+    fs::rename(beside, node.settings);
+  }
+}
+
+void Nodes::founded() {
+  bootstrap_ = false;
+  write_settings();
 }
 
 void Nodes::launch(Node& node) {
+  ++node.launches;
+  node.frozen = node.throttled = false;
+  node.used_ns = 0;
   const auto log = fs::path(node.settings).replace_extension(".log");
   node.process->start((options_.programs / node.program).string(), {}, log.string(),
                       {"--settings=" + node.settings, "--log_level=" + options_.log_level});
 }
 
+int Nodes::launches(const std::string& program, int number) {
+  const std::lock_guard lock(mutex_);
+  return node(program, number).launches;
+}
+
+void Nodes::limit_processors() {
+  const std::lock_guard lock(mutex_);
+  const Moment now = std::chrono::steady_clock::now();
+  const bool begins = now >= period_end_;
+  if (begins) period_end_ = now + kPeriod;
+  for (auto& node : nodes_) {
+    const long long used = node.process->processor_ns();
+    if (begins || used < node.used_ns) node.used_ns = used;
+    const double part = (node.core ? options_.core_processor : options_.edge_processor) *
+                        static_cast<double>(std::chrono::nanoseconds(kPeriod).count());
+    const bool over = !begins && static_cast<double>(used - node.used_ns) >= part;
+    if (over == node.throttled) continue;
+    node.throttled = over;
+    if (!node.frozen) node.process->signal(over ? SIGSTOP : SIGCONT);
+  }
+}
+
 std::vector<std::string> Nodes::look_after() {
+  const std::lock_guard lock(mutex_);
   const Moment now = std::chrono::steady_clock::now();
   std::vector<std::string> ended;
   for (auto& node : nodes_) {
     if (node.process->running()) continue;
     if (node.again == Moment{}) {
-      ended.push_back(node.name + " " + way_of(node.process->status()));
-      node.again = now + kStartAgain;
+      ended.push_back(node.name + " " + node.program + " " + way_of(node.process->status()));
+      node.again = now + std::exchange(node.down, kStartAgain);
     } else if (node.again <= now) {
       node.again = {};
       launch(node);
@@ -110,22 +156,41 @@
   return ended;
 }
 
-void Nodes::kill(const std::string& program, int number) {
-  const std::string suffix = "-" + std::to_string(number + 1) + " " + program;
+Nodes::Node& Nodes::node(const std::string& program, int number) {
   for (auto& node : nodes_)
-    if (node.name.ends_with(suffix)) node.process->signal(SIGKILL);
+    if (node.program == program && node.number == number) return node;
+  throw std::runtime_error("no " + program + " has the number " + std::to_string(number + 1));
+}
+
+void Nodes::kill(const std::string& program, int number, Millis down) {
+  const std::lock_guard lock(mutex_);
+  Node& killed = node(program, number);
+  killed.down = down;
+  killed.process->signal(SIGKILL);
+}
+
+void Nodes::signal(const std::string& program, int number, int signal) {
+  const std::lock_guard lock(mutex_);
+  Node& signalled = node(program, number);
+  if (signal == SIGSTOP || signal == SIGCONT) signalled.frozen = signal == SIGSTOP;
+  if (signal == SIGCONT && signalled.throttled) return;  // it goes on with the next tenth of a second
+  signalled.process->signal(signal);
 }
 
 std::vector<std::string> Nodes::end() {
   const Moment limit = std::chrono::steady_clock::now() + std::chrono::seconds(options_.grace_s);
-  for (auto& node : nodes_) node.process->signal(SIGTERM);
+  for (auto& node : nodes_) {
+    node.process->signal(SIGTERM);
+    node.process->signal(SIGCONT);
+  }
   const auto runs = [](Node& node) { return node.process->running(); };
   while (std::any_of(nodes_.begin(), nodes_.end(), runs) && std::chrono::steady_clock::now() < limit)
     std::this_thread::sleep_for(kLookEvery);
   std::vector<std::string> faults;
   for (auto& node : nodes_) {
-    if (node.process->running()) faults.push_back(node.name + " is still there after its grace");
-    else if (node.process->status() != 0) faults.push_back(node.name + " " + way_of(node.process->status()));
+    const std::string name = node.name + " " + node.program;
+    if (node.process->running()) faults.push_back(name + " is still there after its grace");
+    else if (node.process->status() != 0) faults.push_back(name + " " + way_of(node.process->status()));
     node.process->end(SIGKILL);
   }
   nodes_.clear();
@@ -172,21 +237,21 @@
   if (!core)
     line("feed", quoted(ip + ":" + std::to_string(layout_.at(2))));  // 127.0.0.1 is the same for all here
   out += "\n[limits]\n";
-  line("cpu-fraction", "1.0");
+  line("cpu-fraction", std::to_string(core ? options_.core_processor : options_.edge_processor));
   line("memory-mb", "260");
   line("max-fds", "1024");
-  line("link-mbps", "1000.0");
+  line("link-mbps", std::to_string(core ? kCoreLinkMbps : options_.edge_link_mbps));
   line("disk-mb", core ? "128" : "0");
   out += "\n[fault-budget]\n";
   line("machine-losses", std::to_string((layout_.cores - 1) / 2));
   line("zones", "0");
   line("region-losses", "0");
   out += "\n[bounds]\n";
-  line("contact-ms", "4000");
+  line("contact-ms", std::to_string(options_.contact_ms));
   line("order-ack-ms", "5000");
   line("drain-ms", std::to_string(options_.drain_ms));
   line("grace-s", std::to_string(options_.grace_s));
-  line("apply-ms", "3000");
+  line("apply-ms", std::to_string(options_.apply_ms));
   out += "\n[provider]\n";
   line("address", quoted(text_of(layout_.provider())));
   line("rate-per-s", std::to_string(options_.rate_per_s));
--- a/lab/platform/nodes.h
+++ b/lab/platform/nodes.h
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -35,37 +36,65 @@
   std::string zone(int n) const { return zones()[static_cast<std::size_t>(n) % zones().size()]; }
 };
 
+constexpr const char* kController = "woadridge-controller";
+constexpr const char* kAgent = "woadridge-agent";
+constexpr const char* kProxy = "woadridge-proxy";
+
 struct NodeOptions {
   std::filesystem::path folder;    // settings, logs, disks
   std::filesystem::path programs;  // where proxy, agent and controller are
   std::string log_level = "info";
-  std::uint32_t lag_ms = 300, drain_ms = 3000, grace_s = 6;
+  std::uint32_t lag_ms = 300, drain_ms = 3000, grace_s = 6, contact_ms = 4000, apply_ms = 3000;
+  double edge_processor = 1, core_processor = 1;  // parts of a core that the settings name
+  double edge_link_mbps = 1000;
   double rate_per_s = 50, duty_per_s = 100;
 };
 
 class Nodes {
  public:
+  static constexpr Millis kStartAgain{300};  // after a process has ended by itself
+
   Nodes(Layout layout, NodeOptions options);  // throws std::runtime_error where a program is missing
 
   void start();  // writes the settings files too
   // Those that have ended by themselves since the last look, and how; they are started again.
   std::vector<std::string> look_after();
-  void kill(const std::string& program, int number);  // SIGKILL; it is started again like any other
+  /// SIGKILL; it is started again after `down`.
+  void kill(const std::string& program, int number, Millis down = kStartAgain);
+  void signal(const std::string& program, int number, int signal);
+  int launches(const std::string& program, int number);
+  /// One look: who has used its part of a core for this tenth of a second stands still until the next one
+  /// begins. For a thread of its own, every few milliseconds.
+  void limit_processors();
+  /// The core has taken a configuration: who is started from now on founds nothing.
+  void founded();
+  std::filesystem::path disk(int core) const;
   // SIGTERM to all, and SIGKILL to those that are still there when the grace is over. What went wrong.
   std::vector<std::string> end();
 
  private:
   struct Node {
-    std::string name, program, settings;
+    std::string name, program, role, settings;
+    bool core = false;
+    int number = 0;
     std::unique_ptr<Process> process;
     Moment again{};  // when it is started again; none: it runs
+    Millis down = kStartAgain;
+    int launches = 0;
+    bool frozen = false;     // by signal()
+    bool throttled = false;  // has used its part
+    long long used_ns = 0;   // when this tenth of a second began
   };
-  void add(const std::string& program, const std::string& node, const std::string& settings);
+  Node& node(const std::string& program, int number);
+  void write_settings();
+  void add(const std::string& program, const std::string& role, bool core, int number);
   void launch(Node& node);
   std::string settings_of(const std::string& name, const std::string& role, bool core, int number) const;
 
+  std::mutex mutex_;  // of what follows
   Layout layout_;
   NodeOptions options_;
+  Moment period_end_{};
   bool bootstrap_ = true;  // no core machine holds anything yet
   std::vector<Node> nodes_;
 };
--- a/lab/platform/provider.cpp
+++ b/lab/platform/provider.cpp
@@ -43,8 +43,9 @@
     : strand_(strand),
       options_(std::move(options)),
       ledger_(options_.ledger, options_.machines, options_.addresses),
-      instances_(strand, clock_, options_.work,
-                 [this](const std::string& id) { ledger_.freed(clock_.now(), id); }),
+      instances_(
+          strand, clock_, options_.work, [this](const std::string& id) { ledger_.freed(clock_.now(), id); },
+          options_.on_arrival),
       door_(strand, std::move(endpoint), {}, [this](const Door::VisitRef& visit) { take(visit); }) {}
 
 void Provider::close() {
@@ -76,7 +77,7 @@
   if (post && !asked.is_object()) return refuse(visit, 400, "the body is no JSON object");
   if (post && path == "/api/begin") return begin(visit, asked);
   if (post && path == "/api/stop") return stop(visit, asked);
-  if (post && path == "/stand-in/drain") return drain(visit, asked);
+  if (post && path == "/stand-in/drain") return take_drain(visit, asked);
   refuse(visit, 404, "no such call");
 }
 
@@ -155,9 +156,9 @@
   say(visit, 200, Json::object());
 }
 
-void Provider::drain(const Door::VisitRef& visit, const Json& asked) {
-  const auto leaving = ledger_.drain(clock_.now(), text(asked, "machine"));
-  if (!leaving) return refuse(visit, 404, "no such machine");
+std::optional<std::vector<std::string>> Provider::drain(const std::string& machine) {
+  auto leaving = ledger_.drain(clock_.now(), machine);
+  if (!leaving) return leaving;
   for (const auto& id : *leaving) {
     auto timer = std::make_shared<net::Timer>(strand_);
     timer->expires_after(std::chrono::microseconds(options_.drain));
@@ -167,6 +168,12 @@
       instances_.stop(id);
     });
   }
+  return leaving;
+}
+
+void Provider::take_drain(const Door::VisitRef& visit, const Json& asked) {
+  const auto leaving = drain(text(asked, "machine"));
+  if (!leaving) return refuse(visit, 404, "no such machine");
   say(visit, 200, {{"leaving", *leaving}});
 }
 
--- a/lab/platform/provider.h
+++ b/lab/platform/provider.h
@@ -14,6 +14,7 @@
   std::vector<std::string> addresses;  // for instances
   Micros work = 80'000;                // of a request at an instance
   Micros drain = 3'000'000;            // an instance of a draining machine serves on for so long
+  OnArrival on_arrival{};              // told of each request at an instance, on the provider's strand
 };
 
 struct Tally {  // of calls
@@ -27,6 +28,8 @@
   void open() { door_.open(); }
   void close();
   void functions(const nlohmann::json& configuration);  // the operator's: services and their figures
+  /// The machine takes no more starts, its instances end; none: no such machine.
+  std::optional<std::vector<std::string>> drain(const std::string& machine);
   const Tally& tally() const { return tally_; }
   const Deeds& deeds() const { return instances_.deeds(); }
   std::size_t alive() const { return ledger_.alive(); }
@@ -38,7 +41,7 @@
   void fleet(const Door::VisitRef& visit);
   void begin(const Door::VisitRef& visit, const Json& asked);
   void stop(const Door::VisitRef& visit, const Json& asked);
-  void drain(const Door::VisitRef& visit, const Json& asked);
+  void take_drain(const Door::VisitRef& visit, const Json& asked);
   bool turned_away(const Door::VisitRef& visit);  // a start or stop that isn't allowed
 
   net::Strand strand_;
--- a/lab/platform/stage.cpp
+++ b/lab/platform/stage.cpp
@@ -19,6 +19,22 @@
   thread_.join();
 }
 
+std::vector<std::string> Stage::drain(const std::string& machine) {
+  std::promise<std::vector<std::string>> told;
+  boost::asio::post(strand_,
+                    [&] { told.set_value(provider_.drain(machine).value_or(std::vector<std::string>())); });
+  return told.get_future().get();
+}
+
+void Stage::functions(const nlohmann::json& configuration) {
+  std::promise<void> done;
+  boost::asio::post(strand_, [&] {
+    provider_.functions(configuration);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 Stage::Look Stage::look() {
   std::promise<Look> told;
   boost::asio::post(strand_, [&] {
--- a/lab/platform/stage.h
+++ b/lab/platform/stage.h
@@ -19,6 +19,10 @@
     std::size_t alive = 0;
   };
   Look look();
+  /// A machine of the provider takes no more starts; the instances that are to end.
+  std::vector<std::string> drain(const std::string& machine);
+  /// The operator's configuration has changed: services and their figures.
+  void functions(const nlohmann::json& configuration);
 
  private:
   boost::asio::io_context io_{1};
--- a/lab/platform/trial.cpp
+++ b/lab/platform/trial.cpp
@@ -251,7 +251,7 @@
 
   // One core machine is killed, where the others are a majority, and a new route comes into force.
   bool check_change() {
-    if (call_.layout.cores >= 3) nodes_.kill("woadridge-controller", 0);
+    if (call_.layout.cores >= 3) nodes_.kill(kController, 0);
     Json changed = configuration_;
     const int version = changed.at("version").get<int>() + 1;
     changed["version"] = version;
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -7,6 +7,8 @@
 #include <unistd.h>
 
 #include <boost/asio/write.hpp>
+#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -97,6 +99,19 @@
   return true;
 }
 
+long long Process::processor_ns() const {
+  long long used = 0;
+  if (pid_ <= 0) return used;
+  char path[40];
+  std::snprintf(path, sizeof path, "/proc/%d/schedstat", static_cast<int>(pid_));
+  const int file = ::open(path, O_RDONLY | O_CLOEXEC);
+  if (file < 0) return used;
+  char text[64] = {};
+  if (::read(file, text, sizeof text - 1) > 0) used = std::strtoll(text, nullptr, 10);
+  ::close(file);
+  return used;
+}
+
 int Process::threads() const {
   int count = 0;
   if (pid_ <= 0) return 0;
--- a/lab/process.h
+++ b/lab/process.h
@@ -27,7 +27,8 @@
   void end(int number);
   // CPU since the last look in microseconds, resident memory in MiB, descriptors.
   bool look(double& cpu_us, double& memory_mb, int& descriptors);
-  int threads() const;  // 0: not running
+  long long processor_ns() const;  // since its start; 0: not running
+  int threads() const;             // 0: not running
 
  private:
   pid_t pid_ = 0;
--- /dev/null
+++ b/tests/platform/lab/judge_test.cpp
@@ -0,0 +1,173 @@
+// What the judge of a soak finds in observations that are made up.
+#include "lab/platform/soak/judge.h"
+
+#include <CppUTest/TestHarness.h>
+
+using woadridge::Micros;
+using namespace woadridge::lab::platform;
+using namespace woadridge::lab::platform::soak;
+
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+
+Bounds bounds() {
+  Bounds made;
+  made.contact = 6 * kSecond;
+  made.drain = made.apply = 5 * kSecond;
+  made.recovery = 15 * kSecond;
+  made.shed_slack = 2;
+  made.edges = 2;
+  made.cores = 3;
+  return made;
+}
+
+}  // namespace
+
+TEST_GROUP(Judge) {
+  Observations seen;
+
+  void setup() override {
+    seen.versions = {version(1, 0, {{"/a/", "s0"}})};
+    seen.version_read_back = 1;
+    seen.over = 100 * kSecond;
+  }
+  static SentVersion version(std::uint64_t number, Micros acknowledged,
+                             std::map<std::string, std::string> routes) {
+    SentVersion made;
+    made.version = number;
+    made.sent = acknowledged - 1;
+    made.acknowledged = acknowledged;
+    made.service_of_route = std::move(routes);
+    return made;
+  }
+  Attempt& attempt(const std::string& id, Micros sent, int status) {
+    Attempt made;
+    made.id = id;
+    made.route = "/a/";
+    made.path = "/a/x";
+    made.sent = sent;
+    made.ended = sent + kSecond / 10;
+    made.status = status;
+    seen.attempts.push_back(made);
+    return seen.attempts.back();
+  }
+  void served(const std::string& id, Micros sent, const std::string& service) {
+    auto& made = attempt(id, sent, 200);
+    made.sealed = true;
+    made.ran_service = service;
+    arrival(id, sent, service, Arrival::Kind::ran);
+  }
+  void arrival(const std::string& id, Micros at, const std::string& service, Arrival::Kind kind) {
+    seen.arrivals.push_back({id, "i-1", service, "/a/x", at, kind});
+  }
+  // The rule that is broken; empty: none is; else all of them.
+  std::string broken() {
+    std::string rules;
+    for (const auto& finding : judge(seen, bounds())) rules += (rules.empty() ? "" : " ") + finding.rule;
+    return rules;
+  }
+};
+
+TEST(Judge, FindsNothingWhereAllIsAsItShouldBe) {
+  served("1", kSecond, "s0");
+  STRCMP_EQUAL("", broken().c_str());
+}
+
+TEST(Judge, ASuccessWithoutItsSealIsMixed) {
+  attempt("1", kSecond, 200);
+  STRCMP_EQUAL("MIXED", broken().c_str());
+}
+
+TEST(Judge, WhatMayRunOnceAndRanTwiceIsFound) {
+  served("1", kSecond, "s0");
+  arrival("1", kSecond, "s0", Arrival::Kind::ran);
+  STRCMP_EQUAL("TWICE", broken().c_str());
+  seen.attempts.back().repeatable = true;
+  STRCMP_EQUAL("", broken().c_str());
+}
+
+TEST(Judge, APromiseOfWhatRanIsFound) {
+  attempt("1", kSecond, 503);
+  arrival("1", kSecond, "s0", Arrival::Kind::ran);
+  STRCMP_EQUAL("REFUSED", broken().c_str());
+}
+
+TEST(Judge, WhatNoClientSentIsFound) {
+  arrival("1", kSecond, "s0", Arrival::Kind::ran);
+  STRCMP_EQUAL("UNASKED", broken().c_str());
+}
+
+TEST(Judge, AServiceThatNoVersionNamesIsFoundTwice) {
+  served("1", kSecond, "s1");
+  STRCMP_EQUAL("CONFIG ROUTE", broken().c_str());
+}
+
+TEST(Judge, ARouteThatIsRefusedLaterThanItsVersionHadToBeInForceIsFound) {
+  seen.versions = {version(1, 0, {}), version(2, 10 * kSecond, {{"/a/", "s0"}})};
+  seen.version_read_back = 2;
+  attempt("1", 15 * kSecond, 404);
+  STRCMP_EQUAL("", broken().c_str());
+  attempt("2", 15 * kSecond + 1, 404);
+  STRCMP_EQUAL("CONFIG", broken().c_str());
+}
+
+TEST(Judge, AnOldServiceIsAllowedUntilTheVersionHadToBeInForce) {
+  seen.versions.push_back(version(2, 10 * kSecond, {{"/a/", "s1"}}));
+  seen.version_read_back = 2;
+  served("1", 15 * kSecond, "s0");
+  STRCMP_EQUAL("", broken().c_str());
+  served("2", 15 * kSecond + 1, "s0");
+  STRCMP_EQUAL("CONFIG", broken().c_str());
+}
+
+TEST(Judge, AMachineOutOfTouchIsNotBoundByTimes) {
+  seen.versions.push_back(version(2, 10 * kSecond, {{"/a/", "s1"}}));
+  seen.version_read_back = 2;
+  served("1", 16 * kSecond, "s0");
+  seen.troubles = {{false, 0, 8 * kSecond, 10 * kSecond, "kill"}};
+  STRCMP_EQUAL("", broken().c_str());
+  seen.troubles = {{true, 2, 8 * kSecond, 10 * kSecond, "kill"}};
+  STRCMP_EQUAL("", broken().c_str());
+  seen.troubles = {{false, 1, 8 * kSecond, 10 * kSecond, "kill"}};
+  STRCMP_EQUAL("CONFIG", broken().c_str());
+  seen.troubles = {{false, 0, 8 * kSecond, 10 * kSecond - 1, "kill"}};
+  STRCMP_EQUAL("CONFIG", broken().c_str());
+}
+
+TEST(Judge, ARequestAtAnInstanceThatIsToEndIsFoundOnceDrainMsIsOver) {
+  served("1", 15 * kSecond, "s0");
+  seen.leaving = {{"i-1", 10 * kSecond}};
+  STRCMP_EQUAL("", broken().c_str());
+  served("2", 15 * kSecond + 1, "s0");
+  STRCMP_EQUAL("DRAIN", broken().c_str());
+  seen.arrivals.back().kind = Arrival::Kind::misdirected;
+  STRCMP_EQUAL("", broken().c_str());
+}
+
+TEST(Judge, InstancesThatTurnAwayTooManyInFiveSecondsAreFound) {
+  for (int n = 0; n < 3; ++n) {
+    attempt(std::to_string(n), 10 * kSecond + n * 5 * kSecond / 2, 503);
+    arrival(std::to_string(n), 10 * kSecond + n * 5 * kSecond / 2, "s0", Arrival::Kind::full);
+  }
+  STRCMP_EQUAL("LIMIT", broken().c_str());
+  seen.arrivals.back().at += 1;
+  STRCMP_EQUAL("", broken().c_str());
+}
+
+TEST(Judge, AConfigurationThatComesBackOlderOrThatWasInvalidIsFound) {
+  seen.versions.push_back(version(2, 10 * kSecond, {{"/a/", "s0"}}));
+  STRCMP_EQUAL("CONFIG", broken().c_str());
+  seen.version_read_back = 2;
+  STRCMP_EQUAL("", broken().c_str());
+  seen.versions.back().valid = false;
+  STRCMP_EQUAL("CONFIG CONFIG", broken().c_str());
+}
+
+TEST(Judge, AServiceThatDoesNotComeBackIsFound) {
+  seen.closing_over = 50 * kSecond;
+  attempt("1", 65 * kSecond, 503);
+  STRCMP_EQUAL("RECOVER", broken().c_str());
+  served("2", 66 * kSecond, "s0");
+  STRCMP_EQUAL("", broken().c_str());
+}
