--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -162,7 +162,10 @@
 
 void Agent::heard_news(const News& news, std::string_view bytes) {
   const bool was_linked = link_.linked();
+  const auto version_before = held_.board().plan.version;
   const HeldState::Taken taken = held_.take(news);
+  if (held_.board().plan.version != version_before)
+    common::info("configuration taken", {{"version", std::to_string(held_.board().plan.version)}});
   if (taken.stale) {
     link_.stale(now());
     return dropped("its term is over");
@@ -173,7 +176,10 @@
   link_.news(now(), taken.new_to_us);
   if (was_linked) return;
   told_unlinked_ = false;
-  common::info("link", {{"holder", link_.place().text()}, {"term", std::to_string(news.holder_term)}});
+  common::info("link", {{"holder", link_.place().text()},
+                        {"term", std::to_string(news.holder_term)},
+                        {"board", std::to_string(held_.board().version)},
+                        {"configuration", std::to_string(held_.board().plan.version)}});
   flush();
 }
 
@@ -241,7 +247,10 @@
     proxy_ = wire;
     leaving_ = false;
     pending_.clear();
-    common::info("proxy", {{"address", asked.proxy}});
+    common::info("proxy", {{"address", asked.proxy},
+                           {"term", std::to_string(asked.term)},
+                           {"board", std::to_string(asked.board)},
+                           {"configuration", std::to_string(asked.plan)}});
   }
   const bool behind = held_.proxy_holds(asked);
   // One that has just started holds nothing that the proxy could use.
--- a/src/controller/duty_holder.cpp
+++ b/src/controller/duty_holder.cpp
@@ -1,5 +1,6 @@
 #include "controller/duty_holder.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
@@ -14,6 +15,7 @@
 
 constexpr std::uint64_t kFirstTerm = 1;
 constexpr double kMachinesShare = 0.3;      // of the lists' calls: machines change seldom
+constexpr Micros kLogEvery = 1'000'000;     // between two lines about one agent
 constexpr Micros kListAgain = 100'000;      // after no answer: the list is what all else hangs on
 constexpr std::uint32_t kMostSlowDown = 8;  // times: three seconds between two lists, drain-ms is seldom less
 
@@ -86,6 +88,7 @@
   provider_.hold(term);
   board_.begin(term);
   pace_.begin();
+  trail_.begin();
   proxy_roster_.begin(began_, term == kFirstTerm);
   autoscaler_->begin(began_, term);
   placement_.begin();
@@ -260,6 +263,7 @@
   auto peers = proxy_roster_.at(now);
   placement_.present(proxy_roster_.present());
   if (!proxy_roster_.settled(now) || peers == board_.peers()) return;
+  log_proxies_gone(peers);
   if (common::logs(common::Level::debug)) common::debug("proxies", {{"count", std::to_string(peers.size())}});
   board_.peers(peers);
   pace_.peers(peers);
@@ -271,6 +275,36 @@
   autoscaler_->peers(now, std::move(peers));
 }
 
+void DutyHolder::log_proxies_gone(const std::vector<common::Peer>& peers) const {
+  std::string names;
+  for (const auto& before : board_.peers()) {
+    const auto same = [&](const common::Peer& peer) { return peer.name == before.name; };
+    if (std::none_of(peers.begin(), peers.end(), same)) names += (names.empty() ? "" : " ") + before.name;
+  }
+  if (!names.empty())
+    common::info("proxies gone", {{"names", names}, {"left", std::to_string(peers.size())}});
+}
+
+// Which part of the way to a proxy is slow can't be seen anywhere else.
+void DutyHolder::log_agents_behind(Micros now) {
+  for (const auto& agent : agents_) {
+    const auto& ask = agent->ask;
+    if (agent->asked_at == 0 || now - agent->behind_logged_at < kLogEvery) continue;
+    if (!trail_.is_behind(now, {ask.term, ask.board, ask.plan})) continue;
+    agent->behind_logged_at = now;
+    common::warning("an agent is behind", {{"agent", ask.name},
+                                           {"term", std::to_string(ask.term)},
+                                           {"board", std::to_string(ask.board)},
+                                           {"newest_board", std::to_string(board_.version())},
+                                           {"configuration", std::to_string(ask.plan)},
+                                           {"newest_configuration", std::to_string(plans_.version())},
+                                           {"asked_ms_ago", std::to_string((now - agent->asked_at) / 1000)},
+                                           {"told_ms_ago", std::to_string((now - agent->told_at) / 1000)},
+                                           {"asks", agent->asks ? "yes" : "no"},
+                                           {"unsent", std::to_string(agent->wire->unsent())}});
+  }
+}
+
 // A board without what an earlier holder started would take every instance from the proxies: they serve on
 // with the one that they hold until the list has come.
 bool DutyHolder::board_is_ready(Micros now) {
@@ -327,6 +361,8 @@
     if (!holding().confirmed) source_.confirm();
     read_lists(now);
     step();
+    if (board_is_ready(now)) trail_.note(now, {term_, board_.version(), plans_.version()});
+    log_agents_behind(now);
   }
   if (common::logs(common::Level::debug) && now - shown_at_ >= 1'000'000) {
     shown_at_ = now;
--- a/src/controller/duty_holder.h
+++ b/src/controller/duty_holder.h
@@ -20,6 +20,7 @@
 #include "controller/news_encoder.h"
 #include "controller/news_pace.h"
 #include "controller/provider.h"
+#include "controller/version_trail.h"
 #include "net/asio.h"
 
 namespace woadridge::controller {
@@ -69,6 +70,7 @@
     bool asks = false;  // its question is open
     Micros asked_at = 0, told_at = 0, unread_since = 0;
     std::uint64_t core_told = 0;  // which list of the core's members
+    Micros behind_logged_at = 0;
   };
 
   void take(std::shared_ptr<common::FrameConnection> wire);
@@ -87,6 +89,8 @@
   void answer(Agent& agent, Micros now);
   bool must_wait(const Agent& agent) const;  // for whole news of others to be on their way
   void pulse();
+  void log_agents_behind(Micros now);
+  void log_proxies_gone(const std::vector<common::Peer>& peers) const;
   void read_lists(Micros now);
   void send(const autoscaler::Order& order);
   void answered(std::uint64_t term, std::uint64_t ticket, const ProviderResult<Begun>& result);
@@ -104,6 +108,7 @@
   PlanHistory plans_;
   NewsEncoder news_{board_, plans_};
   NewsPace pace_;
+  VersionTrail trail_;
   std::unique_ptr<autoscaler::Autoscaler> autoscaler_;
   autoscaler::Placement placement_;
   DutySource source_;
--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -352,7 +352,10 @@
   ViewChange change = view_.told(now(), news);
   const bool holds_both = board().plan.version > 0 && board().term > 0;
   informed_ = informed_ || (holds_both && board().plan.version >= news.newest_plan);
-  if (change.plan) router_.take(board().plan);
+  if (change.plan) {
+    router_.take(board().plan);
+    common::info("configuration taken", {{"version", std::to_string(board().plan.version)}});
+  }
   if (!change.taken) return;
   for (const auto& id : change.gone) refusals_.erase(id);
   if (change.peers)
--- a/src/proxy/feed.cpp
+++ b/src/proxy/feed.cpp
@@ -1,6 +1,7 @@
 #include "proxy/feed.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/log.h"
 
@@ -42,6 +43,7 @@
           return ended();
         }
         failures_ = 0;
+        if (!std::exchange(up_, true)) common::info("feed", {{"agent", dispatch_.settings().feed().text()}});
         const auto& news = std::get<common::News>(*said);
         const bool gap = dispatch_.board().lacks_base_of(news);
         dispatch_.told(news);
@@ -63,6 +65,12 @@
 
 void Feed::ended() {
   if (stopped_) return;
+  if (std::exchange(up_, false)) {
+    const auto& board = dispatch_.board();
+    common::info("feed lost", {{"term", std::to_string(board.term)},
+                               {"board", std::to_string(board.version)},
+                               {"configuration", std::to_string(board.plan.version)}});
+  }
   again_.expires_after(std::chrono::milliseconds(kAgainMs << std::min(failures_++, kDoublings)));
   again_.async_wait([this](net::Fault stopped) {
     if (!stopped) connect();
--- a/src/proxy/feed.h
+++ b/src/proxy/feed.h
@@ -25,6 +25,7 @@
   net::Timer again_;
   std::shared_ptr<common::FrameConnection> wire_;
   int failures_ = 0;
+  bool up_ = false;  // the agent has said something
   bool stopped_ = false;
 };
 
