An instance that leaves is not used again by a new holder, nor longer where lists are late

A leaving instance is used on for 0.45 of drain-ms until its replacement is up. That time ran from the moment at which this holder first saw it leave: each new holder counted it anew, and told an instance as ready that the one before had told as leaving (simulated: ready, draining, ready, draining); a holder whose reads of the list are over the rate counted from a late list. Now it runs from the newest list of this term that did not show it as leaving, and what leaves already when a holder begins is told as leaving.

Class: a time that another party began, counted from one's own first sight of it.

--- a/src/autoscaler/autoscaler.cpp
+++ b/src/autoscaler/autoscaler.cpp
@@ -60,6 +60,7 @@
   tokens_ = options_.calls_at_once;
   out_ = 0;
   listed_ = false;
+  listed_at_ = 0;
   plan_ = nullptr;
   if (plan) this->plan(now, plan);
 }
@@ -192,6 +193,7 @@
     if (unlisted) gone.push_back(life);
   }
   for (auto* life : gone) lose(now, *life);
+  listed_at_ = asked;
 }
 
 void Autoscaler::adopt(Micros now, const Listed& shown) {
@@ -208,7 +210,8 @@
   if (!f.planned && f.unplanned_at == 0) f.unplanned_at = now;
   machine_ledger_.take(now, life.machine, life.memory_mb, false);
   by_id_[life.id] = &life;
-  life.stage = Stage::ready;
+  // Who leaves already may have been told so long ago: it is not used again.
+  life.stage = shown.draining ? Stage::leaving : Stage::ready;
   // Nobody knows since when it is idle: it gets a keep like any.
   if (f.wanted_at.size() < f.lives.size()) f.wanted_at.resize(f.lives.size(), now);
   match(now, life, shown);
@@ -225,8 +228,9 @@
   life.capacity = shown.capacity;
   life.zone = shown.zone;
   if (life.stage == Stage::starting) stage(now, life, Stage::ready);
-  if (shown.draining && life.drains_at == 0) {
-    life.drains_at = now;
+  if (shown.draining && !life.drains) {
+    life.drains = true;
+    life.drains_since = listed_at_;
     life.function->dirty = true;
   }
   if (news) tell(life);
@@ -386,7 +390,7 @@
 }
 
 bool Autoscaler::counts(const Micros, const Life& life) const {
-  return life.stage < Stage::leaving && life.drains_at == 0 && !machine_ledger_.leaves(life.machine);
+  return life.stage < Stage::leaving && !life.drains && !machine_ledger_.leaves(life.machine);
 }
 
 // What time alone brings about.
@@ -404,12 +408,12 @@
         break;
       case Stage::ready:
         // It serves drain-ms longer than the list shows: some of it is used until its replacement is up.
-        if (life->drains_at > 0) {
+        if (life->drains) {
           const bool replaced = std::any_of(f.lives.begin(), f.lives.end(), [&](const Life* l) {
-            return l->stage == Stage::ready && l->drains_at == 0;
+            return l->stage == Stage::ready && !l->drains;
           });
           const bool in_time =
-              now - life->drains_at < micros(options_.linger * static_cast<double>(bounds_.drain) / 1e6);
+              now - life->drains_since < micros(options_.linger * static_cast<double>(bounds_.drain) / 1e6);
           const bool coming = std::any_of(f.lives.begin(), f.lives.end(),
                                           [&](const Life* l) { return l->stage < Stage::ready; });
           if (replaced || !in_time || (!coming && f.gauge.idle(now))) stage(now, *life, Stage::leaving);
@@ -419,7 +423,7 @@
         }
         break;
       case Stage::leaving: {
-        if (life->drains_at > 0) break;  // the provider ends it, the list shows when
+        if (life->drains) break;  // the provider ends it, the list shows when
         const auto quiet =
             std::clamp(micros(2 * f.gauge.longest_s()), options_.quiet_least, options_.quiet_most);
         const auto gone_by = now - life->since;
@@ -495,8 +499,7 @@
     // Who was to leave and isn't ended yet comes back: nothing is cheaper.
     for (auto at = f.lives.rbegin(); at != f.lives.rend() && missing > 0; ++at) {
       auto& life = **at;
-      if (life.stage != Stage::leaving || life.drains_at > 0 || machine_ledger_.leaves(life.machine))
-        continue;
+      if (life.stage != Stage::leaving || life.drains || machine_ledger_.leaves(life.machine)) continue;
       stage(now, life, Stage::ready);
       f.dirty = false;
       --missing;
@@ -561,7 +564,7 @@
   Life* best = nullptr;
   for (const auto& [number, life] : lives_) {
     const auto& f = *life->function;
-    if (life->stage != Stage::ready || life->drains_at > 0 || life->memory_mb < memory_mb) continue;
+    if (life->stage != Stage::ready || life->drains || life->memory_mb < memory_mb) continue;
     if (!f.gauge.idle(now) || now - f.gauge.last_use() < options_.keep_least / 2) continue;
     if (!best || f.gauge.last_use() < best->function->gauge.last_use()) best = life.get();
   }
--- a/src/autoscaler/autoscaler.h
+++ b/src/autoscaler/autoscaler.h
@@ -98,8 +98,9 @@
     std::uint32_t missed = 0;  // lists since that didn't have it
     Micros since = 0;          // its stage began
     Micros born = 0, seen_at = 0, reached_at = 0;
-    Micros drains_at = 0;  // a list showed that it's leaving by the provider's will; 0: not
-    Micros call_at = 0;    // not before
+    bool drains = false;      // a list showed that it's leaving by the provider's will ...
+    Micros drains_since = 0;  // ... at the earliest since then; 0: since before this term
+    Micros call_at = 0;       // not before
     std::uint32_t tries = 0;
     bool told = false;
     common::Instance last_told;
@@ -171,6 +172,7 @@
   double tokens_ = 0;
   std::uint32_t out_ = 0;  // calls
   bool listed_ = false;
+  Micros listed_at_ = 0;  // when the newest list was asked for; 0: none in this term
 };
 
 }  // namespace woadridge::autoscaler
--- a/tests/platform/autoscaler/autoscaler_test.cpp
+++ b/tests/platform/autoscaler/autoscaler_test.cpp
@@ -222,6 +222,43 @@
   CHECK_EQUAL(0, world.tally.lost);
 }
 
+// An instance that leaves was used again by each new holder for as long as by the first.
+TEST(Autoscaler, ALeavingInstanceIsNotUsedAnewByANewHolder) {
+  World world(23);
+  world.machine("w-1", "a", 128);  // room for no replacement
+  world.service("f0", 128, 900, 1, 1500);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(7);
+  world.traffic({"f0", 20, 0.02, 0.1, 1.5, 8, world.now, 30 * kS});
+  world.run(10 * kS);
+  CHECK_EQUAL(1, world.alive("f0"));
+  world.drain("w-1");
+  world.run(world.now + 3400 * kMs);
+  world.begin(8);
+  world.run(30 * kS);
+  CHECK_EQUAL(0, world.tally.drained_late);
+}
+
+// A list that comes late shows nothing of when an instance began to leave.
+TEST(Autoscaler, ALeavingInstanceIsUsedNoLongerWhereListsAreSeldomRead) {
+  World world(24);
+  world.machine("w-1", "a", 128);
+  world.service("f0", 128, 900, 1, 1500);
+  world.configure(1);
+  world.proxies(kPeers);
+  world.begin(7);
+  world.traffic({"f0", 20, 0.06, 0.1, 1.5, 8, world.now, 30 * kS});
+  world.run(10 * kS);
+  world.drain("w-1");
+  world.run(world.now + 700 * kMs);
+  world.frozen_lists = true;  // the calls of all readers together are over the rate
+  world.run(world.now + 2300 * kMs);
+  world.frozen_lists = false;
+  world.run(30 * kS);
+  CHECK_EQUAL(0, world.tally.drained_late);
+}
+
 TEST(Autoscaler, AMachineThatIsGoneTakesItsInstancesAndTheyAreReplaced) {
   World world(12);
   stand_up(world);
