--- a/lab/platform/nodes.cpp
+++ b/lab/platform/nodes.cpp
@@ -169,6 +169,12 @@
   killed.process->signal(SIGKILL);
 }
 
+void Nodes::empty_disk(int core) {
+  const std::lock_guard lock(mutex_);
+  node(kController, core).process->end(SIGKILL);
+  for (const auto& entry : fs::directory_iterator(disk(core))) fs::remove_all(entry.path());
+}
+
 void Nodes::signal(const std::string& program, int number, int signal) {
   const std::lock_guard lock(mutex_);
   Node& signalled = node(program, number);
--- a/lab/platform/nodes.h
+++ b/lab/platform/nodes.h
@@ -61,6 +61,8 @@
   std::vector<std::string> look_after();
   /// SIGKILL; it is started again after `down`.
   void kill(const std::string& program, int number, Millis down = kStartAgain);
+  /// Of a core machine that was killed, once its process has ended.
+  void empty_disk(int core);
   void signal(const std::string& program, int number, int signal);
   int launches(const std::string& program, int number);
   /// One look: who has used its part of a core for this tenth of a second stands still until the next one
--- a/lab/platform/soak/day.cpp
+++ b/lab/platform/soak/day.cpp
@@ -10,7 +10,7 @@
 constexpr Millis kAfterRecovery{4'000};
 constexpr Millis kAfterReturn{800};  // a machine of the provider drains so soon after a core machine is back
 constexpr Millis kQuietEnd{8'000};   // before the closing fault
-constexpr Action kLosses[] = {Action::kill, Action::kill, Action::terminate, Action::freeze};
+constexpr Action kLosses[] = {Action::kill, Action::kill, Action::terminate, Action::freeze, Action::wipe};
 constexpr Millis kEdgeTroubleEvery{5'000};
 
 class Draw {
@@ -62,7 +62,7 @@
         lost.target = Target::core;
         lost.numbers = some(options_.cores, 1);
       }
-      if (!whole) lost.action = kLosses[between(0, 3)];
+      if (!whole) lost.action = kLosses[between(0, 4)];
       day.troubles.push_back(lost);
       drain(day, at - Millis(between(0, 2'500)));
       drain(day, at + lost.lasts + kAfterReturn);
--- a/lab/platform/soak/soak.cpp
+++ b/lab/platform/soak/soak.cpp
@@ -228,10 +228,12 @@
   }
 
   void hit(const Trouble& trouble, const char* program, int number) {
-    if (trouble.action == Action::kill) nodes_.kill(program, number, trouble.lasts);
-    else if (trouble.action == Action::terminate) nodes_.signal(program, number, SIGTERM);
-    else if (trouble.action == Action::freeze) nodes_.signal(program, number, SIGSTOP);
-    else if (trouble.action == Action::reload) nodes_.signal(program, number, SIGHUP);
+    const bool kills = trouble.action == Action::kill || trouble.action == Action::wipe;
+    if (kills) nodes_.kill(program, number, trouble.lasts);
+    if (trouble.action == Action::wipe) nodes_.empty_disk(number);
+    if (trouble.action == Action::terminate) nodes_.signal(program, number, SIGTERM);
+    if (trouble.action == Action::freeze) nodes_.signal(program, number, SIGSTOP);
+    if (trouble.action == Action::reload) nodes_.signal(program, number, SIGHUP);
   }
 
   void drain(const Trouble& trouble) {
