--- a/lab/platform/command.cpp
+++ b/lab/platform/command.cpp
@@ -92,6 +92,9 @@
       ->check(CLI::Range(1.0, 5000.0))
       ->capture_default_str();
   soak->add_flag("!--core-only", call.day.edges_suffer, "no troubles of edges before the end");
+  soak->add_option("--core-share", nodes.core_processor, "part of a core that a core machine has")
+      ->check(CLI::Range(0.01, 1.0))
+      ->capture_default_str();
   soak->add_flag("--quotas", call.quotas, "each process gets the part of a core that its settings name");
   soak->add_flag("--keep", call.keep, "the logs of clean runs, too");
   soak->add_option("--dir", folder_, "of the logs (default: one under /tmp)");
