A new holder of a small fleet waits 0.75 s, not a second more, where no proxy holds a board

Logs: the duty begins at 36.69 s, the last of six proxies has linked at 37.13, homes are named only at 38.13: of fewer than eight that hold no board a whole second without a newcomer was waited for. A proxy that serves without a link asks again within 0.65 s, so three or more that are all new are all there are after 0.75 s.

--- a/src/controller/board.cpp
+++ b/src/controller/board.cpp
@@ -13,6 +13,8 @@
 constexpr Micros kFounding = 250'000;      // nobody holds a board: there is nothing to disturb ...
 constexpr Micros kTogether = 200'000;      // ... and those that start together are told together
 constexpr std::size_t kManyNew = 8;        // so many without a board, and none with one: all have begun anew
+constexpr std::size_t kSomeNew = 3;        // so many, after ...
+constexpr Micros kAllHaveAsked = 750'000;  // one that serves without a link tries again at least so often
 constexpr Micros kNoNewcomer = 1'000'000;  // agents find the holder within a few tries, all at about one time
 constexpr Micros kLatest = 4'000'000;      // who isn't back by now is served by others
 
@@ -115,7 +117,9 @@
 bool ProxyRoster::settled(Micros now) {
   if (settled_) return true;
   const auto span = now - began_, calm = now - newest_at_;
-  const bool all_new = !earlier_ && entries_.size() >= kManyNew && calm >= kTogether;
+  const bool some = entries_.size() >= kSomeNew && span >= kAllHaveAsked;
+  const bool enough = entries_.size() >= kManyNew || some;
+  const bool all_new = !earlier_ && enough && calm >= kTogether;
   const bool all_back = expected_ > 0 ? entries_.size() >= expected_ : all_new || calm >= kNoNewcomer;
   if (earlier_ || !first_) settled_ = !entries_.empty() && (all_back || span >= kLatest);
   else settled_ = !entries_.empty() && span >= kFounding && (calm >= kTogether || span >= kNoNewcomer);
--- a/tests/platform/autoscaler/board_test.cpp
+++ b/tests/platform/autoscaler/board_test.cpp
@@ -229,6 +229,29 @@
   CHECK(roll.settled(5'000'000));
 }
 
+// After a loss of all power a small fleet waited a second for proxies that held nothing either.
+TEST(ProxyRoster, SomeThatAllBeganAnewAreAllOnceEveryoneHasAsked) {
+  roll.begin(1'000'000, false);
+  roll.asked(1'100'000, ask("p", "1:1"));
+  roll.asked(1'200'000, ask("q", "1:2"));
+  roll.asked(1'500'000, ask("r", "1:3"));
+  CHECK(!roll.settled(1'740'000));
+  CHECK(roll.settled(1'750'000));
+}
+
+TEST(ProxyRoster, OneAmongThemThatHoldsABoardIsWaitedWith) {
+  roll.begin(1'000'000, false);
+  roll.asked(1'100'000, ask("p", "1:1"));
+  roll.asked(1'200'000, ask("q", "1:2"));
+  auto earlier = ask("r", "1:3");
+  earlier.term = 4;
+  earlier.peers = 4;
+  roll.asked(1'500'000, earlier);
+  CHECK(!roll.settled(2'400'000));
+  roll.asked(2'500'000, ask("s", "1:4"));
+  CHECK(roll.settled(2'500'000));
+}
+
 // Guards against a proxy that has begun anew, finds a new holder first and is taken for all there are.
 TEST(ProxyRoster, AfterTheFoundingOneThatHoldsNothingIsNotAll) {
   roll.begin(1'000'000, false);
