--- a/tests/peer/store_test.cpp
+++ b/tests/peer/store_test.cpp
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <mutex>
 
 #include "../net_rig.h"
@@ -204,11 +205,17 @@
     ::unsetenv("TMPDIR");
     for (int i = 0; i < 2'000 && !lab::healthy(listen); ++i)
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    double cpu = 0, memory = 0;
-    int descriptors = 0;
-    EXPECT_TRUE(p.look(cpu, memory, descriptors));
+    // Connections of the health calls may still be open: its own descriptors are there at every look.
+    int fewest = std::numeric_limits<int>::max();
+    for (int i = 0; i < 20; ++i) {
+      double cpu = 0, memory = 0;
+      int descriptors = 0;
+      EXPECT_TRUE(p.look(cpu, memory, descriptors));
+      fewest = std::min(fewest, descriptors);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
     threads = p.threads();
-    return descriptors;
+    return fewest;
   }
   net::test::Scratch scratch_;
 };
