--- a/lab/platform/command.cpp
+++ b/lab/platform/command.cpp
@@ -91,6 +91,9 @@
   soak->add_option("--rate", call.requests_per_s, "requests a second")
       ->check(CLI::Range(1.0, 5000.0))
       ->capture_default_str();
+  soak->add_option("--grace", nodes.grace_s, "seconds from SIGTERM to SIGKILL")
+      ->check(CLI::Range(1, 60))
+      ->capture_default_str();
   soak->add_flag("!--core-only", call.day.edges_suffer, "no troubles of edges before the end");
   soak->add_option("--core-share", nodes.core_processor, "part of a core that a core machine has")
       ->check(CLI::Range(0.01, 1.0))
--- a/lab/platform/door.cpp
+++ b/lab/platform/door.cpp
@@ -11,7 +11,7 @@
 
 constexpr net::HttpLimits kLimits{16 * 1024, 4 * 1024 * 1024};
 
-void reset(net::Socket& socket) {  // the other end sees the connection break, not end
+void close_hard(net::Socket& socket) {  // the other end sees the connection break, not end
   const linger hard{1, 0};
   ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
   net::Fault ignored;
@@ -62,7 +62,7 @@
   acceptor_.async_accept([this](net::Fault fault, net::Socket socket) {
     if (fault == boost::asio::error::operation_aborted) return;  // this object may be gone
     if (!fault && visits_.size() >= options_.most_visits) {
-      reset(socket);
+      close_hard(socket);
     } else if (!fault) {
       const auto visit = std::make_shared<Visit>(*this, std::move(socket));
       visits_.insert(visit);
@@ -92,6 +92,15 @@
   }
 }
 
+void Door::reset() {
+  const auto all = visits_;
+  for (const auto& visit : all) visit->reset();
+}
+
+void Door::hold_back(std::chrono::microseconds span) {
+  held_until_ = std::max(held_until_, std::chrono::steady_clock::now() + span);
+}
+
 Door::Visit::Visit(Door& door, net::Socket socket)
     : door_(&door),
       socket_(std::move(socket)),
@@ -112,7 +121,23 @@
   });
 }
 
+bool Door::Visit::held_back() {
+  if (door_->held_until_ <= std::chrono::steady_clock::now()) return false;
+  auto wait = std::make_shared<net::Timer>(door_->strand_, door_->held_until_);
+  wait->async_wait([self = shared_from_this(), wait](net::Fault) {
+    if (!self->closed_) self->read();
+  });
+  return true;
+}
+
+void Door::Visit::reset() {
+  if (closed_) return;
+  close_hard(socket_);
+  close();
+}
+
 void Door::Visit::read() {
+  if (held_back()) return;
   const auto room = reader_.room();
   if (room.empty()) return close();
   socket_.async_read_some(boost::asio::buffer(room.data(), room.size()),
--- a/lab/platform/door.h
+++ b/lab/platform/door.h
@@ -35,6 +35,9 @@
   void open();   // throws std::runtime_error, which names the address
   void leave();  // takes no more connections; those that are idle close, the others after their answer
   void drop();   // closes everything
+  void reset();  // connections that are open break off; new ones are taken
+  /// What comes on connections is read only then; it may come from callers that are gone by that time.
+  void hold_back(std::chrono::microseconds span);
   bool leaving() const { return leaving_; }
 
  private:
@@ -48,6 +51,7 @@
   net::Acceptor acceptor_;
   std::set<VisitRef> visits_;
   bool leaving_ = false;
+  std::chrono::steady_clock::time_point held_until_{};
 };
 
 class Door::Visit : public std::enable_shared_from_this<Visit> {
@@ -67,6 +71,8 @@
   void start();
   void read();
   void take();
+  bool held_back();  // reads on once its door's time is over
+  void reset();
   void watch();  // while a request is at work: whether the caller is still there
   void idle();
   void close();
--- a/lab/platform/instances.cpp
+++ b/lab/platform/instances.cpp
@@ -36,6 +36,7 @@
         id_(life.id),
         service_(life.service),
         capacity_(life.capacity),
+        work_(owner.work_for(life.service)),
         start_(owner.strand_),
         door_(owner.strand_, endpoint_at(life.address), Door::Policy{most_conns, kIdleS},
               [this](const Door::VisitRef& visit) { take(visit); }) {}
@@ -60,8 +61,20 @@
     door_.drop();
   }
 
+  bool listens() const { return open_ && !leaving_; }
+
+  void strike(InstanceTrouble trouble, Micros lasts) {
+    if (trouble == InstanceTrouble::reset) door_.reset();
+    if (trouble == InstanceTrouble::hold_back) door_.hold_back(std::chrono::microseconds(lasts));
+    if (trouble != InstanceTrouble::crash) return;
+    leaving_ = dropped_ = true;
+    door_.reset();
+    door_.drop();
+  }
+
  private:
   void open() {
+    open_ = true;
     try {
       door_.open();
     } catch (const std::runtime_error& fault) {
@@ -102,10 +115,10 @@
     ++busy_;
     ++owner_.deeds_.runs[attempt];
     const Micros deadline = deadline_of(visit->header(kDeadlineMs));
-    const bool in_time = owner_.work_ <= deadline;
+    const bool in_time = work_ <= deadline;
     auto timer = std::make_shared<net::Timer>(owner_.strand_);
     visit->on_gone([timer] { timer->cancel(); });  // nobody waits for it: it is given up
-    timer->expires_after(std::chrono::microseconds(in_time ? owner_.work_ : deadline));
+    timer->expires_after(std::chrono::microseconds(in_time ? work_ : deadline));
     timer->async_wait(
         [self = shared_from_this(), visit, attempt, lines, timer, in_time](net::Fault given_up) {
           --self->busy_;
@@ -142,9 +155,10 @@
   Instances& owner_;
   std::string id_, service_;
   std::uint32_t capacity_, busy_ = 0;
+  Micros work_;
   net::Timer start_;
   Door door_;
-  bool leaving_ = false, dropped_ = false, told_ = false;
+  bool open_ = false, leaving_ = false, dropped_ = false, told_ = false;
 };
 
 Instances::Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed,
@@ -172,6 +186,28 @@
   }
 }
 
+Micros Instances::work_for(const std::string& service) const {
+  const auto found = work_of_.find(service);
+  return found == work_of_.end() ? work_ : found->second;
+}
+
+std::vector<std::string> Instances::strike(InstanceTrouble trouble, double share, Micros lasts,
+                                           std::uint64_t lot) {
+  std::vector<std::string> struck;
+  for (const auto& [id, instance] : all_) {
+    const auto draw = static_cast<double>(fnv1a(id + "/" + std::to_string(lot)) % 1000) / 1000;
+    if (instance->listens() && draw < share) struck.push_back(id);
+  }
+  for (const auto& id : struck) {
+    const auto instance = all_.at(id);
+    instance->strike(trouble, lasts);
+    if (trouble != InstanceTrouble::crash) continue;
+    all_.erase(id);
+    on_freed_(id);
+  }
+  return struck;
+}
+
 void Instances::drop() {
   for (const auto& [id, instance] : std::exchange(all_, {})) instance->drop();
 }
--- a/lab/platform/instances.h
+++ b/lab/platform/instances.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "lab/platform/door.h"
 #include "lab/platform/ledger.h"
@@ -36,6 +37,12 @@
   int misdirected = 0;              // turned away: meant for another instance
 };
 
+enum class InstanceTrouble {
+  reset,      ///< its connections break off, also under requests; it goes on
+  hold_back,  ///< it reads what is sent to it later
+  crash,      ///< it ends at work; its address may be another's soon
+};
+
 class Instances {
  public:
   using OnFreed = std::function<void(const std::string& id)>;
@@ -43,19 +50,24 @@
   /// `on_arrival` may be empty.
   Instances(net::Strand strand, const net::Clock& clock, Micros work, OnFreed on_freed,
             OnArrival on_arrival = {});
+  void work_of(std::string service, Micros work) { work_of_[std::move(service)] = work; }
   ~Instances();
 
   void begin(const Life& life, std::size_t most_conns);  // listens once it has started
   void stop(const std::string& id);                      // listens no longer; ends its work, then it is freed
   void drop();                                           // all of them, at once
+  /// `share` of those that run, by lot; `lasts` of what is held back. Those that were hit.
+  std::vector<std::string> strike(InstanceTrouble trouble, double share, Micros lasts, std::uint64_t lot);
   const Deeds& deeds() const { return deeds_; }
 
  private:
   class Instance;
+  Micros work_for(const std::string& service) const;
 
   net::Strand strand_;
   const net::Clock& clock_;
   Micros work_;
+  std::map<std::string, Micros> work_of_;  // services that take another time
   OnFreed on_freed_;
   OnArrival on_arrival_;
   std::map<std::string, std::shared_ptr<Instance>> all_;  // by id
--- a/lab/platform/provider.cpp
+++ b/lab/platform/provider.cpp
@@ -46,7 +46,9 @@
       instances_(
           strand, clock_, options_.work, [this](const std::string& id) { ledger_.freed(clock_.now(), id); },
           options_.on_arrival),
-      door_(strand, std::move(endpoint), {}, [this](const Door::VisitRef& visit) { take(visit); }) {}
+      door_(strand, std::move(endpoint), {}, [this](const Door::VisitRef& visit) { take(visit); }) {
+  for (const auto& [service, work] : options_.work_of) instances_.work_of(service, work);
+}
 
 void Provider::close() {
   door_.drop();
--- a/lab/platform/provider.h
+++ b/lab/platform/provider.h
@@ -11,10 +11,11 @@
 struct ProviderOptions {
   LedgerOptions ledger;
   std::vector<Machine> machines;
-  std::vector<std::string> addresses;  // for instances
-  Micros work = 80'000;                // of a request at an instance
-  Micros drain = 3'000'000;            // an instance of a draining machine serves on for so long
-  OnArrival on_arrival{};              // told of each request at an instance, on the provider's strand
+  std::vector<std::string> addresses;       // for instances
+  Micros work = 80'000;                     // of a request at an instance
+  std::map<std::string, Micros> work_of{};  // services that take another time
+  Micros drain = 3'000'000;                 // an instance of a draining machine serves on for so long
+  OnArrival on_arrival{};                   // told of each request at an instance, on the provider's strand
 };
 
 struct Tally {  // of calls
@@ -30,6 +31,10 @@
   void functions(const nlohmann::json& configuration);  // the operator's: services and their figures
   /// The machine takes no more starts, its instances end; none: no such machine.
   std::optional<std::vector<std::string>> drain(const std::string& machine);
+  /// What strikes a share of the instances; those that were hit.
+  std::vector<std::string> strike(InstanceTrouble trouble, double share, Micros lasts, std::uint64_t lot) {
+    return instances_.strike(trouble, share, lasts, lot);
+  }
   const Tally& tally() const { return tally_; }
   const Deeds& deeds() const { return instances_.deeds(); }
   std::size_t alive() const { return ledger_.alive(); }
--- a/lab/platform/soak/clients.cpp
+++ b/lab/platform/soak/clients.cpp
@@ -182,6 +182,7 @@
     open.attempt.edge = static_cast<int>(draw(fronts_.size()));
     open.attempt.route = route.prefix;
     open.attempt.repeatable = route.repeatable;
+    open.deadline = route.deadline;
     open.first_sent = clock_.now();
     send(std::move(open), false);
     arrive();
@@ -213,7 +214,7 @@
   attempt.id = "s" + std::to_string(options_.seed) + "-" + std::to_string(++numbers_);
   attempt.path = attempt.route + "x" + std::to_string(numbers_);
   attempt.sent = clock_.now();
-  const Micros left = options_.deadline - (attempt.sent - open.first_sent);
+  const Micros left = open.deadline - (attempt.sent - open.first_sent);
   std::string bytes = (attempt.repeatable ? "GET " : "POST ") + attempt.path + " HTTP/1.1\r\n";
   net::write_header(bytes, "Host", options_.host);
   net::write_header(bytes, kAttemptId, attempt.id);
@@ -246,7 +247,7 @@
   const bool failed = attempt.status == 0 || attempt.status >= 500;
   const bool may = promised || (failed && attempt.repeatable);
   if (!may || open.probes || attempt.given_up || stopping_ || open.tries >= kMostTries) return;
-  const Micros left = open.first_sent + options_.deadline - clock_.now();
+  const Micros left = open.first_sent + open.deadline - clock_.now();
   const auto pause = std::min(static_cast<Micros>(retry_after_s * kMicrosPerSecond), left / 3);
   if (left <= 0) return;
   Open again;
@@ -254,6 +255,7 @@
   again.attempt.route = attempt.route;
   again.attempt.repeatable = attempt.repeatable;
   again.first_sent = open.first_sent;
+  again.deadline = open.deadline;
   again.tries = open.tries + 1;
   const auto timer = std::make_shared<net::Timer>(strand_);
   timer->expires_after(std::chrono::microseconds(std::max<Micros>(pause, 1000)));
--- a/lab/platform/soak/clients.h
+++ b/lab/platform/soak/clients.h
@@ -22,6 +22,7 @@
 struct ClientRoute {
   std::string prefix;
   bool repeatable = true;
+  Micros deadline = 4'000'000;
 };
 
 struct ClientOptions {
@@ -30,7 +31,6 @@
   std::string host;
   std::vector<ClientRoute> routes;  ///< the first ones get most
   std::vector<Burst> bursts;
-  Micros deadline = 4'000'000;
   Micros probe_every = 1'000'000;  ///< between two looks at one edge for the routes of the operator's changes
 };
 
@@ -50,6 +50,7 @@
   struct Open {  // a request on its way
     Attempt attempt;
     Micros first_sent = 0;
+    Micros deadline = ClientRoute{}.deadline;
     int tries = 1;
     bool probes = false;
   };
--- a/lab/platform/soak/day.h
+++ b/lab/platform/soak/day.h
@@ -16,13 +16,18 @@
   kill,       ///< SIGKILL; started again after `lasts`
   wipe,       ///< the same, with an empty disk
   terminate,  ///< SIGTERM, SIGKILL after the grace; started again once it has ended
+  interrupt,  ///< SIGTERM, and once more after `lasts`: it ends at once
   freeze,     ///< SIGSTOP, and SIGCONT after `lasts`
   reload,     ///< SIGHUP
   drain,      ///< a machine of the provider takes no more instances, its own are to end
+  reset,      ///< connections of instances break off, also under requests
+  hold_back,  ///< instances read what is sent to them after `lasts`
+  crash,      ///< instances end at work; their addresses are used again
 };
 
-/// holder: the core machine that holds the duty then; edge: agent and proxy.
-enum class Target { core, holder, edge, agent, proxy, worker };
+/// holder: the core machine that holds the duty then; edge: agent and proxy; worker: a machine of the
+/// provider; instance: some of all.
+enum class Target { core, holder, edge, agent, proxy, worker, instance };
 
 struct Trouble {
   Millis at{0};  ///< after the start of traffic
@@ -30,6 +35,7 @@
   Target target = Target::core;
   std::vector<int> numbers;  ///< empty with `holder`
   Millis lasts{0};
+  double share = 0;  ///< of the instances
 };
 
 struct Burst {
@@ -60,6 +66,7 @@
   Millis length{34'000};     ///< before the closing fault
   Millis recovery{15'000};   ///< after it
   bool edges_suffer = true;  ///< else troubles strike the core alone
+  bool instances_suffer = true;
 };
 
 Day draw_day(const DayOptions& options);
--- a/lab/platform/soak/judge.h
+++ b/lab/platform/soak/judge.h
@@ -30,9 +30,10 @@
   /// trouble.
   bool edge(int number, Micros from, Micros to) const;
   bool all_edges(Micros from, Micros to) const;
+  bool instances(Micros from, Micros to) const;
 
  private:
-  bool calm(Micros from, Micros to, bool core, int number) const;
+  bool calm(Micros from, Micros to, Place place, int number) const;
 
   const std::vector<TroubleSpan>& troubles_;
   const Bounds& bounds_;
--- a/lab/platform/soak/observations.h
+++ b/lab/platform/soak/observations.h
@@ -34,10 +34,12 @@
   std::map<std::string, std::string> service_of_route;
 };
 
-/// Machines that were in trouble, from the first sign of it to the last.
+enum class Place { edge, core, instances };
+
+/// What was in trouble, from the first sign of it to the last.
 struct TroubleSpan {
-  bool core = false;  ///< else an edge
-  int number = 0;
+  Place place = Place::edge;
+  int number = 0;  ///< of the machine
   Micros from = 0, to = 0;
   std::string what;
 };
--- a/lab/platform/soak/operator_desk.h
+++ b/lab/platform/soak/operator_desk.h
@@ -23,6 +23,8 @@
   ~OperatorDesk();
 
   const nlohmann::json& configuration() const { return configuration_; }
+  /// Services whose requests take seconds, as bookkeeping at the end of an order does.
+  std::map<std::string, Micros> slow_services() const;
   std::vector<ClientRoute> routes() const;  ///< of the functions, which no change touches
   static const char* host() { return "soak.example"; }
 
@@ -37,7 +39,7 @@
   bool apply(const Change& change);
   void put(int first_core, bool valid, const std::string& text, Millis limit);
   std::string service_at(std::size_t number) const;
-  nlohmann::json route(const std::string& prefix, const std::string& service, bool repeatable) const;
+  nlohmann::json route(const std::string& prefix, const std::string& service, const ClientRoute& kind) const;
   std::vector<std::string> shown() const;
 
   std::mt19937_64 random_;
--- a/lab/platform/stage.cpp
+++ b/lab/platform/stage.cpp
@@ -26,6 +26,13 @@
   return told.get_future().get();
 }
 
+std::vector<std::string> Stage::strike(InstanceTrouble trouble, double share, Micros lasts,
+                                       std::uint64_t lot) {
+  std::promise<std::vector<std::string>> told;
+  boost::asio::post(strand_, [&] { told.set_value(provider_.strike(trouble, share, lasts, lot)); });
+  return told.get_future().get();
+}
+
 void Stage::functions(const nlohmann::json& configuration) {
   std::promise<void> done;
   boost::asio::post(strand_, [&] {
--- a/lab/platform/stage.h
+++ b/lab/platform/stage.h
@@ -21,6 +21,8 @@
   Look look();
   /// A machine of the provider takes no more starts; the instances that are to end.
   std::vector<std::string> drain(const std::string& machine);
+  /// What strikes a share of the instances; those that were hit.
+  std::vector<std::string> strike(InstanceTrouble trouble, double share, Micros lasts, std::uint64_t lot);
   /// The operator's configuration has changed: services and their figures.
   void functions(const nlohmann::json& configuration);
 
