--- a/lab/platform/command.cpp
+++ b/lab/platform/command.cpp
@@ -95,6 +95,16 @@
       ->check(CLI::Range(1, 60))
       ->capture_default_str();
   soak->add_flag("!--core-only", call.day.edges_suffer, "no troubles of edges before the end");
+  static const std::map<std::string, soak::Action> edge_actions = {{"kill", soak::Action::kill},
+                                                                   {"terminate", soak::Action::terminate},
+                                                                   {"interrupt", soak::Action::interrupt},
+                                                                   {"freeze", soak::Action::freeze},
+                                                                   {"reload", soak::Action::reload}};
+  soak->add_option_function<std::string>(
+          "--edge-trouble",
+          [&call](const std::string& name) { call.day.edge_action = edge_actions.at(name); },
+          "the only one that strikes edges (default: any)")
+      ->check(CLI::IsMember(edge_actions));
   soak->add_option("--core-share", nodes.core_processor, "part of a core that a core machine has")
       ->check(CLI::Range(0.01, 1.0))
       ->capture_default_str();
--- a/lab/platform/soak/day.cpp
+++ b/lab/platform/soak/day.cpp
@@ -89,6 +89,7 @@
     trouble.at = from + Millis(between(0, 4'000));
     trouble.target = kTargets[between(0, 2)];
     trouble.action = kActions[between(0, 4)];
+    if (options_.edge_action) trouble.action = *options_.edge_action;
     trouble.numbers = some(options_.edges, std::max(1, options_.edges * between(5, 40) / 100));
     trouble.lasts = Millis(between(200, 4'000));
     return trouble;
--- a/lab/platform/soak/day.h
+++ b/lab/platform/soak/day.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -67,6 +68,7 @@
   Millis recovery{15'000};   ///< after it
   bool edges_suffer = true;  ///< else troubles strike the core alone
   bool instances_suffer = true;
+  std::optional<Action> edge_action;  ///< the only one that strikes edges; none: any
 };
 
 Day draw_day(const DayOptions& options);
