An attempt counts from its beginning: a home that ends no longer says of a call at work that it ran nowhere

Cause: `Tries` counted an attempt when it ended. A proxy that ends answers its open calls first: a call at work got 502 with X-Woadridge-Used: 0, and the proxy that had passed it on sent it again at once. A repeatable one got a promise (503).

Why this works: an attempt counts from the moment that it is sent and is taken back only when its end shows that it has not run; whatever is answered in between says as many runs as there may be. Answers.AnAttemptThatCountsOnlyWhenItHasEndedIsFound plays the fault in seeded runs, whose proxies now also end in order.

--- a/src/proxy/function_scheduler.cpp
+++ b/src/proxy/function_scheduler.cpp
@@ -153,6 +153,7 @@
       std::move(request),
       [this, id = action.id, attempt](OutboundResult end) { ended(id, attempt, std::move(end)); });
   open.tries.back().outbound = number;
+  open.call->tries.begin();
   ++out_at_[action.worker];
   dispatch_.alarms().at(call.deadline - kAhead, [this, id = action.id, attempt] { time_out(id, attempt); });
 }
@@ -264,7 +265,9 @@
   one.outbound = 0;
   if (--open.out == 0 && open.call) ++held_;
   --busy_;
-  if (open.call && (result == Result::broken || result == Result::cancelled)) {
+  const bool may_have_run = result == Result::broken || result == Result::cancelled;
+  if (open.call && !may_have_run) open.call->tries.not_run();
+  if (open.call && may_have_run) {
     open.call->tries.ran();
     // The proxy that granted the try may have another.
     if (open.out == 0 && !open.call->tries.may_run()) {
--- a/src/proxy/tries.h
+++ b/src/proxy/tries.h
@@ -26,22 +26,32 @@
 
   bool repeatable() const { return repeatable_; }
   std::uint32_t most() const { return most_; }
-  std::uint32_t used() const { return used_; }
+  // Instances that it may have run on, those that are at work included.
+  std::uint32_t used() const { return planted(Planted::attempt_out_is_free) ? used_ : used_ + out_; }
   std::uint32_t granted() const { return granted_; }
-  bool may_have_run() const { return used_ > 0; }
+  bool may_have_run() const { return used() > 0; }
 
   // It may be sent to an instance, or to a peer, once more.
-  bool may_run() const { return used_ < granted_ && (repeatable_ || used_ == 0); }
+  bool may_run() const { return used() < granted_ && (repeatable_ || used() == 0); }
 
   // 429, 503, 408 and 421 say that it has not run and never will.
-  bool may_promise() const { return used_ == 0 || planted(Planted::promise_after_run); }
+  bool may_promise() const { return used() == 0 || planted(Planted::promise_after_run); }
 
   // What a peer gets: one more. It asks for the next by its answer, so that a peer that dies with a call
   // takes one try along and no more.
-  std::uint32_t grant_to_peer() const { return std::min(granted_, used_ + 1); }
+  std::uint32_t grant_to_peer() const { return std::min(granted_, used() + 1); }
 
-  // An instance has read it, or may have, and has not said that it did not run it.
-  void ran() { ++used_; }
+  // An attempt at an instance begins. It counts from now on, as its call may be answered before it ends.
+  void begin() { ++out_; }
+
+  // The attempt has ended. The instance has read it, or may have, and has not said that it did not run it.
+  void ran() {
+    --out_;
+    ++used_;
+  }
+
+  // The attempt has ended, and has surely not run.
+  void not_run() { --out_; }
 
   // A peer that was given `grant` broke off: it may have used all of that.
   void peer_lost(std::uint32_t grant) {
@@ -56,7 +66,8 @@
  private:
   bool repeatable_ = false;
   std::uint32_t most_ = 1;
-  std::uint32_t used_ = 0;
+  std::uint32_t used_ = 0;  // of the attempts that have ended, here and at other proxies
+  std::uint32_t out_ = 0;   // attempts of this proxy that have not ended
   std::uint32_t granted_ = 1;
 };
 
--- a/tests/platform/proxy/answers_run_test.cpp
+++ b/tests/platform/proxy/answers_run_test.cpp
@@ -68,6 +68,9 @@
 TEST(Answers, ALostPeerThatCountsAsUnusedIsFound) {
   found(Planted::lost_peer_is_free, "TWICE");
 }
+TEST(Answers, AnAttemptThatCountsOnlyWhenItHasEndedIsFound) {
+  found(Planted::attempt_out_is_free, "TWICE");
+}
 TEST(Answers, APromiseAfterARunIsFound) {
   found(Planted::promise_after_run, "REFUSED");
 }
--- a/tests/platform/proxy/answers_world.cpp
+++ b/tests/platform/proxy/answers_world.cpp
@@ -100,6 +100,11 @@
   return true;
 }
 
+void Line::deliver_answers() {
+  const auto self = shared_from_this();
+  while (open && !orphan && !down.empty()) deliver_down();
+}
+
 void Line::follow(Exchange::State state) {
   if (state == Exchange::State::failed) return fail(exchange.unanswered());
   if (state != Exchange::State::answered) return;
@@ -258,9 +263,13 @@
   net::write_header(head, kAttemptId, job->id);
   net::write_header(head, "Content-Length", std::to_string(job->body.size()));
   head += "\r\n";
+  job->tries.begin();
+  at_work_.insert(job);
   lines_.line(to, job->id)->begin(job->id, head.size(), head + job->body, [this, job](OutboundResult end) {
+    at_work_.erase(job);
     const auto judged = judge_attempt(end);
     if (judged == AttemptEnd::answered || judged == AttemptEnd::may_have_run) job->tries.ran();
+    else job->tries.not_run();
     if (judged != AttemptEnd::answered) return attempt(job);
     job->done(Reply{end.status, end.head, end.body, 0, false, {}}, job->tries);
   });
@@ -352,11 +361,20 @@
   attempt(job);
 }
 
+void Proxy::end(std::uint64_t boot) {
+  for (const auto& job : std::exchange(at_work_, {})) job->done(Reply{}, job->tries);
+  const auto all = world_.lines;
+  for (const auto& line : all)
+    if (line->open && &line->end == this) line->deliver_answers();
+  die(boot);
+}
+
 void Proxy::die(std::uint64_t boot) {
   const auto all = world_.lines;
   for (const auto& line : all)
     if (line->open && &line->end == this) line->cut();
   lines_.drop_all();
+  at_work_.clear();
   calls_ = std::make_unique<PeerCalls>();
   boot_ = boot;
 }
@@ -383,6 +401,7 @@
   while (true) {
     if (begun < calls && chance(0.1)) call(begun++);
     if (chance(0.0005)) proxies[draw(proxies.size())]->die(++boots);
+    if (chance(0.0005)) proxies[draw(proxies.size())]->end(++boots);
     std::erase_if(lines, [](const LineRef& line) { return !line->open; });
     bool moved = false;
     const auto all = lines;
--- a/tests/platform/proxy/answers_world.h
+++ b/tests/platform/proxy/answers_world.h
@@ -51,7 +51,8 @@
 
   void begin(const std::string& id, std::size_t head, std::string text, Told on_end);
   void say(const std::string& bytes, bool extra = false);
-  bool step();  // false: nothing to do
+  bool step();             // false: nothing to do
+  void deliver_answers();  // what the end has said until now
   void cut();
   void close() { open = false; }
 
@@ -102,6 +103,7 @@
   void pass(std::shared_ptr<Job> job, Proxy& home);
   void attempt(std::shared_ptr<Job> job);
   void die(std::uint64_t boot);
+  void end(std::uint64_t boot);  // told to: what is at work is answered first
 
  private:
   struct Passing {
@@ -118,6 +120,7 @@
   std::unique_ptr<PeerCalls> calls_ = std::make_unique<PeerCalls>();
   std::map<Proxy*, std::uint64_t> known_;
   std::vector<std::shared_ptr<Asker>> askers_;
+  std::set<std::shared_ptr<Job>> at_work_;  // at an instance
 };
 
 class World {
