A passing that was never read is told so as often as its sender asks, not once

Callers would see: a call held until its deadline (504) though it had run nowhere. Cause: the first asking enters the number so that what is on its way still can't run; the second asking, after the first word was lost on its way, found that entry and waited for an answer that never comes. Evidence: the third asking of Front.APassingThatWasNeverReadNeverRunsOnceItWasAskedFor got no answer before.

--- a/src/proxy/peer_calls.cpp
+++ b/src/proxy/peer_calls.cpp
@@ -50,9 +50,10 @@
 PeerCalls::Search PeerCalls::find(PassNumber number, Micros until, Micros now) {
   forget(now);
   const auto found = calls_.find(number);
+  if (found != calls_.end() && found->second->never_read) return {Found::never_read, nullptr};
   if (found != calls_.end()) return {Found::here, found->second};
   if (too_old(number)) return {Found::unknown, nullptr};
-  enter(number, until);  // what is on its way still is read as a second one
+  enter(number, until)->never_read = true;  // what is on its way still is read as a second one
   return {Found::never_read, nullptr};
 }
 
--- a/src/proxy/peer_calls.h
+++ b/src/proxy/peer_calls.h
@@ -31,7 +31,8 @@
   bool answered() const { return answered_; }
   const std::optional<Reply>& kept() const { return kept_; }
   void forget_reply() { kept_.reset(); }
-  Micros until = 0;  // no connection can ask for it later
+  Micros until = 0;         // no connection can ask for it later
+  bool never_read = false;  // its sender has been told so: it never runs
 
  private:
   PeerCalls& all_;
--- a/tests/platform/proxy/front_test.cpp
+++ b/tests/platform/proxy/front_test.cpp
@@ -293,6 +293,8 @@
   const auto rejoin = pass + "X-Woadridge-Rejoin: " + boot() + "\r\n";
   STRCMP_CONTAINS("HTTP/1.1 410", ask_as_passing("POST /w/x", counts, rejoin).c_str());
   STRCMP_CONTAINS("HTTP/1.1 502", ask_as_passing("POST /w/x", counts, pass).c_str());
+  // The first word of it was lost on its way.
+  STRCMP_CONTAINS("HTTP/1.1 410", ask_as_passing("POST /w/x", counts, rejoin).c_str());
   const auto other = pass + "X-Woadridge-Rejoin: 12\r\n";  // another life can't say
   STRCMP_CONTAINS("HTTP/1.1 502", ask_as_passing("POST /w/x", counts, other).c_str());
   LONGS_EQUAL(0, one.asked.size());
