--- a/lab/platform/command.cpp
+++ b/lab/platform/command.cpp
@@ -95,6 +95,8 @@
       ->check(CLI::Range(1, 60))
       ->capture_default_str();
   soak->add_flag("!--core-only", call.day.edges_suffer, "no troubles of edges before the end");
+  soak->add_flag("--planned", call.day.only_planned,
+                 "operators' work alone, and no loss of everything at the end");
   static const std::map<std::string, soak::Action> edge_actions = {{"kill", soak::Action::kill},
                                                                    {"terminate", soak::Action::terminate},
                                                                    {"interrupt", soak::Action::interrupt},
--- a/lab/platform/nodes.cpp
+++ b/lab/platform/nodes.cpp
@@ -258,6 +258,9 @@
   line("drain-ms", std::to_string(options_.drain_ms));
   line("grace-s", std::to_string(options_.grace_s));
   line("apply-ms", std::to_string(options_.apply_ms));
+  line("retry-ratio", std::to_string(options_.retry_ratio));
+  line("retry-window-s", std::to_string(options_.retry_window_s));
+  line("retry-slack", std::to_string(options_.retry_slack));
   out += "\n[provider]\n";
   line("address", quoted(text_of(layout_.provider())));
   line("rate-per-s", std::to_string(options_.rate_per_s));
--- a/lab/platform/nodes.h
+++ b/lab/platform/nodes.h
@@ -48,6 +48,8 @@
   double edge_processor = 1, core_processor = 1;  // parts of a core that the settings name
   double edge_link_mbps = 1000;
   double rate_per_s = 50, duty_per_s = 100;
+  std::uint32_t retry_window_s = 10, retry_slack = 50;
+  double retry_ratio = 0.2;
 };
 
 class Nodes {
--- a/lab/platform/provider.cpp
+++ b/lab/platform/provider.cpp
@@ -51,6 +51,7 @@
 }
 
 void Provider::close() {
+  closed_ = true;
   door_.drop();
   instances_.drop();
 }
@@ -70,7 +71,22 @@
   ledger_.functions(std::move(all));
 }
 
+void Provider::suffer(ProviderTrouble trouble, Micros lasts) {
+  const std::chrono::microseconds span(lasts);
+  if (trouble == ProviderTrouble::hold_back) return door_.hold_back(span);
+  if (trouble == ProviderTrouble::refuse) {
+    refuses_until_ = std::max(refuses_until_, clock_.now() + lasts);
+    return;
+  }
+  door_.drop();
+  auto timer = std::make_shared<net::Timer>(strand_, span);
+  timer->async_wait([this, timer](net::Fault) {
+    if (!closed_) door_.open();
+  });
+}
+
 void Provider::take(const Door::VisitRef& visit) {
+  if (clock_.now() < refuses_until_) return refuse(visit, 503, "out of service");
   const std::string target = visit->target(), path = target.substr(0, target.find('?'));
   const bool get = visit->method() == "GET", post = visit->method() == "POST";
   if (get && path == "/instances") return list(visit);
--- a/lab/platform/provider.h
+++ b/lab/platform/provider.h
@@ -18,6 +18,12 @@
   OnArrival on_arrival{};                   // told of each request at an instance, on the provider's strand
 };
 
+enum class ProviderTrouble {
+  hold_back,  ///< calls are read later
+  refuse,     ///< each call gets 503
+  gone,       ///< no connection comes up
+};
+
 struct Tally {  // of calls
   int reads = 0, begins = 0, stops = 0, too_many = 0, fenced = 0, no_room = 0;
 };
@@ -35,6 +41,7 @@
   std::vector<std::string> strike(InstanceTrouble trouble, double share, Micros lasts, std::uint64_t lot) {
     return instances_.strike(trouble, share, lasts, lot);
   }
+  void suffer(ProviderTrouble trouble, Micros lasts);
   const Tally& tally() const { return tally_; }
   const Deeds& deeds() const { return instances_.deeds(); }
   std::size_t alive() const { return ledger_.alive(); }
@@ -56,6 +63,8 @@
   Instances instances_;
   std::map<std::string, std::size_t> most_conns_;  // by service
   Tally tally_;
+  Micros refuses_until_ = 0;
+  bool closed_ = false;
   Door door_;
 };
 
--- a/lab/platform/soak/clients.cpp
+++ b/lab/platform/soak/clients.cpp
@@ -66,7 +66,10 @@
  private:
   void write() {
     boost::asio::async_write(socket_, boost::asio::buffer(bytes_),
-                             [self = shared_from_this()](net::Fault, std::size_t) {});
+                             [self = shared_from_this(), turn = turn_](net::Fault fault, std::size_t) {
+                               if (fault || !self->busy_ || turn != self->turn_) return;
+                               self->open_.attempt.last_byte = self->owner_.clock_.now();
+                             });
   }
 
   void read() {
--- a/lab/platform/soak/clients.h
+++ b/lab/platform/soak/clients.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <random>
 #include <string>
 #include <thread>
--- a/lab/platform/soak/day.cpp
+++ b/lab/platform/soak/day.cpp
@@ -13,6 +13,8 @@
 constexpr Action kLosses[] = {Action::kill, Action::kill, Action::terminate, Action::freeze, Action::wipe};
 constexpr Millis kEdgeTroubleEvery{5'000};
 constexpr Millis kInstanceTroubleEvery{3'000};
+constexpr Millis kPlannedEvery{2'500};
+constexpr Millis kNoClosing = std::chrono::hours(24);
 
 class Draw {
  public:
@@ -24,6 +26,7 @@
     day.closing = options_.length;
     day.closing_down = Millis(between(300, 900));
     day.length = day.closing + day.closing_down + options_.recovery + kAfterRecovery;
+    if (options_.only_planned) return planned(std::move(day));
     core_troubles(day);
     if (options_.edges_suffer)
       for (Millis at(2'000); at < options_.length - kQuietEnd; at += kEdgeTroubleEvery)
@@ -31,6 +34,7 @@
     if (options_.instances_suffer)
       for (Millis at(3'000); at < options_.length - kQuietEnd; at += kInstanceTroubleEvery)
         day.troubles.push_back(instance_trouble(at));
+    if (options_.instances_suffer) day.troubles.push_back(provider_trouble());
     changes(day);
     day.bursts.push_back({Millis(between(9'000, 14'000)), Millis(between(15'000, 18'000)),
                           static_cast<double>(between(15, 30)) / 10});
@@ -39,6 +43,34 @@
   }
 
  private:
+  // No closing fault either: all that is cut off then counts.
+  Day planned(Day day) {
+    day.closing = kNoClosing;
+    day.length = options_.length;
+    constexpr Target kTargets[] = {Target::edge, Target::agent, Target::proxy};
+    for (Millis at(1'000); at < options_.length - kQuietEnd; at += kPlannedEvery) {
+      Trouble trouble = edge_trouble(at);
+      trouble.target = kTargets[between(0, 2)];
+      trouble.action = between(0, 2) == 0 ? Action::reload : Action::terminate;
+      trouble.numbers = some(options_.edges, 1);
+      day.troubles.push_back(trouble);
+      if (between(0, 3) == 0) drain(day, at);
+    }
+    changes(day);
+    std::stable_sort(day.troubles.begin(), day.troubles.end(), [](auto& a, auto& b) { return a.at < b.at; });
+    return day;
+  }
+
+  Trouble provider_trouble() {
+    constexpr Action kActions[] = {Action::hold_back, Action::refuse, Action::vanish};
+    Trouble trouble;
+    trouble.at = Millis(between(5'000, static_cast<int>((options_.length - kQuietEnd).count())));
+    trouble.target = Target::provider;
+    trouble.action = kActions[between(0, 2)];
+    trouble.lasts = Millis(between(500, 4'000));
+    return trouble;
+  }
+
   int between(int low, int high) {  // both may come
     return low + static_cast<int>(random_() % static_cast<std::uint64_t>(high - low + 1));
   }
@@ -127,9 +159,10 @@
 }
 
 std::string describe(const Trouble& trouble) {
-  constexpr const char* kActions[] = {"kill",   "wipe",  "terminate", "interrupt", "freeze",
-                                      "reload", "drain", "reset",     "hold back", "crash"};
-  constexpr const char* kTargets[] = {"core", "holder", "edge", "agent", "proxy", "worker", "instances"};
+  constexpr const char* kActions[] = {"kill",  "wipe",  "terminate", "interrupt", "freeze", "reload",
+                                      "drain", "reset", "hold back", "crash",     "refuse", "vanish"};
+  constexpr const char* kTargets[] = {"core",  "holder", "edge",      "agent",
+                                      "proxy", "worker", "instances", "provider"};
   std::string text = std::string(kActions[static_cast<int>(trouble.action)]) + " " +
                      kTargets[static_cast<int>(trouble.target)];
   for (const int number : trouble.numbers) text += " " + std::to_string(number + 1);
--- a/lab/platform/soak/day.h
+++ b/lab/platform/soak/day.h
@@ -24,11 +24,13 @@
   reset,      ///< connections of instances break off, also under requests
   hold_back,  ///< instances read what is sent to them after `lasts`
   crash,      ///< instances end at work; their addresses are used again
+  refuse,     ///< the provider answers each call with 503
+  vanish,     ///< the provider takes no connections
 };
 
 /// holder: the core machine that holds the duty then; edge: agent and proxy; worker: a machine of the
 /// provider; instance: some of all.
-enum class Target { core, holder, edge, agent, proxy, worker, instance };
+enum class Target { core, holder, edge, agent, proxy, worker, instance, provider };
 
 struct Trouble {
   Millis at{0};  ///< after the start of traffic
@@ -64,10 +66,12 @@
 struct DayOptions {
   std::uint64_t seed = 1;
   int cores = 3, edges = 8, workers = 16;
-  Millis length{34'000};     ///< before the closing fault
-  Millis recovery{15'000};   ///< after it
-  bool edges_suffer = true;  ///< else troubles strike the core alone
-  bool instances_suffer = true;
+  Millis length{34'000};         ///< before the closing fault
+  Millis recovery{15'000};       ///< after it
+  bool edges_suffer = true;      ///< else troubles strike the core alone
+  bool instances_suffer = true;  ///< and the provider
+  bool only_planned =
+      false;  ///< operators' work and nothing else: SIGTERM, SIGHUP, changes, machines that drain
   std::optional<Action> edge_action;  ///< the only one that strikes edges; none: any
 };
 
--- a/lab/platform/soak/observations.h
+++ b/lab/platform/soak/observations.h
@@ -19,6 +19,7 @@
   std::string path;
   bool repeatable = false;
   Micros sent = 0, ended = 0;
+  Micros last_byte = 0;     ///< when all of it was sent; 0: never
   int status = 0;           ///< 0: no whole answer came
   std::string ran_service;  ///< of an answer of an instance
   bool sealed = false;      ///< the answer bears a seal that fits instance, attempt and body
@@ -34,7 +35,7 @@
   std::map<std::string, std::string> service_of_route;
 };
 
-enum class Place { edge, core, instances };
+enum class Place { edge, core, instances, provider };
 
 /// What was in trouble, from the first sign of it to the last.
 struct TroubleSpan {
@@ -42,6 +43,8 @@
   int number = 0;  ///< of the machine
   Micros from = 0, to = 0;
   std::string what;
+  bool restarts = false;  ///< processes of the machine end and start again
+  bool planned = false;   ///< operators' work: told to end once, SIGHUP
 };
 
 struct Leaving {  ///< an instance that the provider wants gone
@@ -56,6 +59,7 @@
   std::vector<TroubleSpan> troubles;
   std::vector<Leaving> leaving;
   std::uint64_t version_read_back = 0;  ///< at the end; 0: none came
+  Micros closing_began = kNever;        ///< the fault after which all is started again
   Micros closing_over = kNever;         ///< when all processes were started again after the closing fault
   Micros over = 0;                      ///< no request was sent later
 };
--- a/lab/platform/soak/operator_desk.cpp
+++ b/lab/platform/soak/operator_desk.cpp
@@ -76,7 +76,7 @@
           {"target-ms", 500},
           {"priority", 1},
           {"service", service},
-          {"max-tries", 2}};
+          {"max-tries", kMaxTries}};
 }
 
 std::vector<ClientRoute> OperatorDesk::routes() const {
--- a/lab/platform/soak/operator_desk.h
+++ b/lab/platform/soak/operator_desk.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <functional>
-#include <mutex>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <thread>
@@ -26,6 +25,7 @@
   /// Services whose requests take seconds, as bookkeeping at the end of an order does.
   std::map<std::string, Micros> slow_services() const;
   std::vector<ClientRoute> routes() const;  ///< of the functions, which no change touches
+  static constexpr int kMaxTries = 2;
   static const char* host() { return "soak.example"; }
 
   bool found(Millis limit);  ///< the first configuration
--- a/lab/platform/soak/soak.cpp
+++ b/lab/platform/soak/soak.cpp
@@ -28,6 +28,9 @@
 constexpr Micros kServesOn = 8'000'000;  // an instance that is to end serves on so long beyond drain-ms
 constexpr int kShedSlack = 16;
 constexpr Micros kRecovery = 15'000'000;
+constexpr Micros kLossSlack = 200'000;
+constexpr Micros kRevertSlack = 250'000;
+constexpr Micros kMicrosPerSecond = 1'000'000;
 
 enum class Verdict { clean, broken, not_judged };
 
@@ -213,6 +216,7 @@
     note(describe(trouble));
     if (trouble.action == Action::drain) return drain(trouble);
     if (trouble.target == Target::instance) return strike_instances(trouble);
+    if (trouble.target == Target::provider) return strike_provider(trouble);
     Struck struck;
     struck.trouble = &trouble;
     struck.first_span = seen_.troubles.size();
@@ -221,8 +225,7 @@
     if (trouble.action == Action::terminate)
       struck.next = steady_clock::now() + std::chrono::seconds(call_.nodes.grace_s);
     for (const int number : trouble.numbers) {
-      seen_.troubles.push_back({trouble.target == Target::core ? Place::core : Place::edge, number,
-                                clock_.now(), kNever / 2, describe(trouble)});
+      seen_.troubles.push_back(span_of(trouble, number));
       for (const auto* program : programs(trouble.target)) {
         struck.processes.emplace_back(program, number);
         struck.launches.push_back(nodes_.launches(program, number));
@@ -233,6 +236,18 @@
     struck_.push_back(std::move(struck));
   }
 
+  TroubleSpan span_of(const Trouble& trouble, int number) const {
+    TroubleSpan span;
+    span.place = trouble.target == Target::core ? Place::core : Place::edge;
+    span.number = number;
+    span.from = clock_.now();
+    span.to = kNever / 2;
+    span.what = describe(trouble);
+    span.restarts = trouble.action != Action::freeze && trouble.action != Action::reload;
+    span.planned = trouble.action == Action::terminate || trouble.action == Action::reload;
+    return span;
+  }
+
   void hit(const Trouble& trouble, const char* program, int number) {
     const bool kills = trouble.action == Action::kill || trouble.action == Action::wipe;
     if (kills) nodes_.kill(program, number, trouble.lasts);
@@ -261,6 +276,15 @@
     for (const auto& id : struck) note("struck: " + id);
   }
 
+  void strike_provider(const Trouble& trouble) {
+    const auto kind = trouble.action == Action::refuse      ? ProviderTrouble::refuse
+                      : trouble.action == Action::hold_back ? ProviderTrouble::hold_back
+                                                            : ProviderTrouble::gone;
+    const Micros now = clock_.now();
+    stage_.strike_provider(kind, micros(trouble.lasts));
+    seen_.troubles.push_back({Place::provider, 0, now, now + micros(trouble.lasts), describe(trouble)});
+  }
+
   // What has been struck is thawed, told once more, killed after its grace, and seen coming back.
   void follow_up() {
     std::erase_if(struck_, [this](Struck& struck) {
@@ -299,12 +323,13 @@
     const auto strike_all = [&](const char* program, int count, Place place) {
       for (int number = 0; number < count; ++number) {
         nodes_.kill(program, number, day_.closing_down);
-        seen_.troubles.push_back({place, number, now, now + micros(day_.closing_down), "closing"});
+        seen_.troubles.push_back({place, number, now, now + micros(day_.closing_down), "closing", true});
       }
     };
     strike_all(kController, call_.layout.cores, Place::core);
     strike_all(kAgent, call_.layout.edges, Place::edge);
     strike_all(kProxy, call_.layout.edges, Place::edge);
+    seen_.closing_began = now;
     seen_.closing_over = now + micros(day_.closing_down);
     seen_.troubles.push_back({Place::core, 0, now,
                               seen_.closing_over + static_cast<Micros>(call_.nodes.contact_ms) * 1000,
@@ -318,17 +343,23 @@
     bounds.contact = static_cast<Micros>(call_.nodes.contact_ms) * 1000;
     bounds.drain = static_cast<Micros>(call_.nodes.drain_ms) * 1000;
     bounds.apply = static_cast<Micros>(call_.nodes.apply_ms) * 1000;
+    bounds.grace = call_.nodes.grace_s * kMicrosPerSecond;
     bounds.recovery = kRecovery;
+    bounds.loss_slack = kLossSlack;
+    bounds.revert_slack = kRevertSlack;
+    bounds.retry_window = call_.nodes.retry_window_s * kMicrosPerSecond;
+    bounds.retry_ratio = call_.nodes.retry_ratio;
+    bounds.retry_slack = static_cast<int>(call_.nodes.retry_slack);
+    bounds.max_tries = OperatorDesk::kMaxTries;
     bounds.shed_slack = kShedSlack;
     bounds.edges = call_.layout.edges;
-    bounds.cores = call_.layout.cores;
     const auto served = std::count_if(seen_.attempts.begin(), seen_.attempts.end(),
                                       [](const Attempt& attempt) { return attempt.status == 200; });
     if (served == 0) return not_judged("nothing was served");
     const auto findings = judge(seen_, bounds);
     std::cout << "seed " << seed_ << ": " << seen_.attempts.size() << " requests, " << served << " served, "
               << day_.troubles.size() << " troubles, " << findings.size() << " broken\n";
-    write_lateness(bounds);
+    write_lateness();
     std::ofstream file(folder_ / "findings.log");
     std::map<std::string, int> shown;
     for (const auto& finding : findings) {
@@ -342,9 +373,9 @@
     return findings.empty() ? Verdict::clean : Verdict::broken;
   }
 
-  void write_lateness(const Bounds& bounds) {
+  void write_lateness() {
     std::ofstream file(folder_ / "lateness.log");
-    for (const auto& late : lateness(seen_, bounds))
+    for (const auto& late : lateness(seen_))
       file << late.at / 1000 << " " << late.rule << " " << late.where << " late " << late.late / 1000
            << " calm " << late.calm / 1000 << " " << late.what << "\n";
   }
--- a/lab/platform/stage.cpp
+++ b/lab/platform/stage.cpp
@@ -33,6 +33,10 @@
   return told.get_future().get();
 }
 
+void Stage::strike_provider(ProviderTrouble trouble, Micros lasts) {
+  boost::asio::post(strand_, [this, trouble, lasts] { provider_.suffer(trouble, lasts); });
+}
+
 void Stage::functions(const nlohmann::json& configuration) {
   std::promise<void> done;
   boost::asio::post(strand_, [&] {
--- a/lab/platform/stage.h
+++ b/lab/platform/stage.h
@@ -23,6 +23,7 @@
   std::vector<std::string> drain(const std::string& machine);
   /// What strikes a share of the instances; those that were hit.
   std::vector<std::string> strike(InstanceTrouble trouble, double share, Micros lasts, std::uint64_t lot);
+  void strike_provider(ProviderTrouble trouble, Micros lasts);
   /// The operator's configuration has changed: services and their figures.
   void functions(const nlohmann::json& configuration);
 
