--- a/lab/platform/soak/clients.cpp
+++ b/lab/platform/soak/clients.cpp
@@ -1,5 +1,7 @@
 #include "lab/platform/soak/clients.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -12,6 +14,10 @@
 constexpr net::HttpLimits kLimits{16 * 1024, 1024 * 1024};
 constexpr Micros kPatience = 300'000;  // beyond the deadline that the request names
 constexpr int kMostTries = 3;
+constexpr std::size_t kPieces = 4;  // of a request that is sent so
+constexpr Micros kBetweenPieces = 15'000;
+constexpr Micros kBreaksOffAfter = 40'000;
+constexpr std::uint64_t kOneIn = 100;  // requests of each other manner than prompt
 constexpr double kMicrosPerSecond = 1e6;
 
 double seconds_in(std::string_view text) {
@@ -65,13 +71,50 @@
 
  private:
   void write() {
-    boost::asio::async_write(socket_, boost::asio::buffer(bytes_),
+    if (open_.manner == Manner::in_pieces) return write_piece(0);
+    write_rest(0);
+    if (open_.manner == Manner::breaks_off) break_off_later();
+  }
+
+  void write_piece(std::size_t from) {
+    const auto size = std::min(bytes_.size() - from, bytes_.size() / kPieces + 1);
+    if (from + size >= bytes_.size()) return write_rest(from);
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(bytes_.data() + from, size),
+        [self = shared_from_this(), turn = turn_, next = from + size](net::Fault fault, std::size_t) {
+          if (fault || !self->carries(turn)) return;
+          self->after(kBetweenPieces, [self, next] { self->write_piece(next); });
+        });
+  }
+
+  void write_rest(std::size_t from) {
+    boost::asio::async_write(socket_, boost::asio::buffer(bytes_.data() + from, bytes_.size() - from),
                              [self = shared_from_this(), turn = turn_](net::Fault fault, std::size_t) {
-                               if (fault || !self->busy_ || turn != self->turn_) return;
+                               if (fault || !self->carries(turn)) return;
                                self->open_.attempt.last_byte = self->owner_.clock_.now();
                              });
   }
 
+  // The other end sees a reset.
+  void break_off_later() {
+    after(kBreaksOffAfter, [this] {
+      const linger hard{1, 0};
+      ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+      open_.attempt.given_up = true;
+      close();
+    });
+  }
+
+  bool carries(std::uint64_t turn) const { return busy_ && !closed_ && turn_ == turn; }
+
+  // Unless the request has ended by then.
+  void after(Micros span, std::function<void()> act) {
+    auto timer = std::make_shared<net::Timer>(owner_.strand_, std::chrono::microseconds(span));
+    timer->async_wait([self = shared_from_this(), timer, turn = turn_, act = std::move(act)](net::Fault) {
+      if (self->carries(turn)) act();
+    });
+  }
+
   void read() {
     const auto room = reader_.room();
     if (room.empty()) return close();
@@ -173,6 +216,13 @@
   return std::min(options_.routes.size() - 1, static_cast<std::size_t>(count * std::pow(place, 3)));
 }
 
+Clients::Manner Clients::draw_manner() {
+  const auto lot = draw(kOneIn);
+  if (lot == 0) return Manner::in_pieces;
+  if (lot == 1) return Manner::breaks_off;
+  return Manner::prompt;
+}
+
 void Clients::arrive() {
   if (stopping_) return;
   const double chance = static_cast<double>(1 + draw(1 << 20)) / ((1 << 20) + 1);
@@ -186,6 +236,7 @@
     open.attempt.route = route.prefix;
     open.attempt.repeatable = route.repeatable;
     open.deadline = route.deadline;
+    open.manner = draw_manner();
     open.first_sent = clock_.now();
     send(std::move(open), false);
     arrive();
--- a/lab/platform/soak/clients.h
+++ b/lab/platform/soak/clients.h
@@ -1,5 +1,6 @@
 // Clients of a soak: requests come open-loop, on connections that are kept and used until the other end
-// closes them; a request that may be tried again is, on a new connection at another edge.
+// closes them; a request that may be tried again is, on a new connection at another edge. Some send in
+// pieces, and some break off their connection under a request.
 #pragma once
 
 #include <cstdint>
@@ -45,11 +46,14 @@
 
  private:
   class Connection;
+  enum class Manner { prompt, in_pieces, breaks_off };
+  Manner draw_manner();
   using ConnectionRef = std::shared_ptr<Connection>;
   struct Open {  // a request on its way
     Attempt attempt;
     Micros first_sent = 0;
     Micros deadline = ClientRoute{}.deadline;
+    Manner manner = Manner::prompt;
     int tries = 1;
     bool probes = false;
   };
