--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -19,15 +19,10 @@
 constexpr Micros kReportHeld = 80'000;   // calls are waiting: the holder weighs a start
 constexpr Micros kHopAhead = 3'000;      // the home answers so long before the first proxy gives up
 constexpr int kMostPassed = 3;           // times that one call is sent to a peer
-constexpr int kMostRejoins = 2;          // times that a passing is asked for whose connection broke
 constexpr Micros kRejoinLeast = 10'000;  // of the call's time: less brings no answer
 constexpr int kMostPassedAgain = 1;      // by one that it was sent to: boards differ for a moment
 constexpr double kWindowTime =
-    0.25;  // seconds of what a home bears that may be out there, of all proxies at first
-constexpr double kMostWindow = 64;     // calls of one function out at one home
-constexpr double kSlow = 2.5;          // times the usual answer's time: the home has more than it bears ...
-constexpr double kSlowLeast = 60'000;  // ... and so much beyond, in microseconds: work varies
-constexpr double kUsualWeight = 0.1;   // of a new answer's time in the usual one
+    0.25;                      // seconds of what a home bears that may be out there, of all proxies at first
 constexpr int kAsksAgain = 1;  // the times that a call was passed on which is let through to a silent peer
 constexpr double kSilentAgain = 0.3;  // seconds, after which a silent peer is tried again
 constexpr double kHomeMoved = 0.05;   // seconds, after which the new home is known
@@ -73,7 +68,7 @@
   const auto has_room = [&](const HomeGroup& g) {
     if (is_silent(g.peer->name)) return false;
     const auto found = windows_.find({service, g.peer->name});
-    return found == windows_.end() || static_cast<double>(found->second.out) < found->second.size;
+    return found == windows_.end() || found->second.has_room();
   };
   const bool room =
       std::any_of(all.begin(), all.end(), [&](const HomeGroup& g) { return g.peer && has_room(g); });
@@ -181,20 +176,19 @@
   own.take(std::move(call));
 }
 
-Dispatch::Window& Dispatch::window(const std::string& peer, const std::string& service) {
-  auto& window = windows_[{service, peer}];
-  if (window.size > 0) return window;
+PeerWindow& Dispatch::window(const std::string& peer, const std::string& service) {
+  const auto found = windows_.find({service, peer});
+  if (found != windows_.end()) return found->second;
   const auto peers = static_cast<double>(std::max<std::size_t>(1, board().peers.size()));
-  window.size = std::max(1.0, kWindowTime * settings_.calls_per_s() / peers);
-  return window;
+  const double size = std::max(1.0, kWindowTime * settings_.calls_per_s() / peers);
+  return windows_.emplace(std::make_pair(service, peer), PeerWindow(size)).first->second;
 }
 
 void Dispatch::queue(CallRef call, const common::Peer& peer) {
   auto& at = window(peer.name, call->service);
-  if (static_cast<double>(at.out) < at.size && at.waiting.empty()) return pass_on(std::move(call), peer);
+  if (at.has_room() && at.waiting.empty()) return pass_on(std::move(call), peer);
   // What can't have its turn in time is told at once.
-  const double turn = at.usual / at.size;
-  const auto wait = static_cast<Micros>(turn * static_cast<double>(at.waiting.size() + 1) + at.usual);
+  const Micros wait = at.expected_wait();
   if (now() + wait > call->deadline) return refuse(call, std::max(0.1, static_cast<double>(wait) / 2e6));
   at.waiting.push_back(call);
   alarms_.at(call->deadline - kHopAhead, [this, weak = std::weak_ptr(call), name = peer.name] {
@@ -206,26 +200,10 @@
   });
 }
 
-void Dispatch::answered_by(const std::string& peer, const std::string& service, Micros took, bool served) {
-  auto& at = window(peer, service);
-  if (at.out > 0) --at.out;
-  const auto span = static_cast<double>(took);
-  const bool slow = !served || (at.usual > 0 && span > kSlow * at.usual + kSlowLeast);
-  if (slow) {
-    if (now() - at.cut_at < static_cast<Micros>(at.usual) + static_cast<Micros>(kSlowLeast)) return;
-    at.cut_at = now();
-    at.size = std::max(1.0, at.size / 2);
-    at.usual += (std::min(span, 2 * at.usual + kSlowLeast) - at.usual) * kUsualWeight;
-    return;
-  }
-  at.size = std::min(kMostWindow, at.size + 1 / at.size);
-  at.usual = at.usual <= 0 ? span : at.usual + (span - at.usual) * kUsualWeight;
-}
-
 void Dispatch::pump(const std::string& peer, const std::string& service) {
   const common::Peer* to = view_.peer(peer);
   auto& at = window(peer, service);
-  while (!at.waiting.empty() && to != nullptr && static_cast<double>(at.out) < at.size) {
+  while (!at.waiting.empty() && to != nullptr && at.has_room()) {
     const CallRef call = at.waiting.front();
     at.waiting.pop_front();
     pass_on(call, *to);
@@ -248,7 +226,7 @@
   const auto place = common::read_endpoint(peer.address);
   if (!place) return refuse(call, 0.2);
   ++call->passed_on;
-  ++window(peer.name, call->service).out;
+  window(peer.name, call->service).begin();
   auto pass = std::make_shared<Pass>();
   pass->peer = peer.name;
   pass->place = place.value();
@@ -265,7 +243,7 @@
     outbound_.drop(late->outbound);
     late->call->tries.peer_lost(late->grant);
     answer(late->call, {504, {}, {}, 0, true, {}});
-    answered_by(late->peer, late->call->service, now() - late->sent, false);
+    window(late->peer, late->call->service).ended(now(), now() - late->sent, false);
     pump(late->peer, late->call->service);
   });
 }
@@ -299,7 +277,7 @@
   pass->over = true;
   const bool answers = end.how == How::answered;
   if (end.boot != 0) boots_[pass->peer] = end.boot;
-  answered_by(pass->peer, call->service, now() - pass->sent, answers && end.status != 503);
+  window(pass->peer, call->service).ended(now(), now() - pass->sent, answers && end.status != 503);
   if (answers) pump(pass->peer, call->service);
   else unreachable(pass->peer, end.how);
   switch (next) {
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -1,7 +1,6 @@
 // What the proxy knows of the platform, and where each call goes: to its function's home, here or at a peer.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -12,6 +11,7 @@
 #include "common/settings.h"
 #include "proxy/function_scheduler.h"
 #include "proxy/home_view.h"
+#include "proxy/peer_window.h"
 #include "proxy/router.h"
 
 namespace woadridge::proxy {
@@ -58,17 +58,7 @@
   void give_on(const std::string& service);
   void refuse(const CallRef& call, double retry_after_s);
   FunctionScheduler& scheduler(const std::string& service);
-  // Of one function at one other home: how much may be out there at once, and what waits for that. Guards a
-  // home with a thin link against more calls than it can read: there they would stand in front of its news
-  // too.
-  struct Window {
-    double size = 0;  // 0: not used yet
-    std::size_t out = 0;
-    double usual = 0;  // microseconds that answers take
-    Micros cut_at = 0;
-    std::deque<CallRef> waiting;
-  };
-  Window& window(const std::string& peer, const std::string& service);
+  PeerWindow& window(const std::string& peer, const std::string& service);
   void queue(CallRef call, const common::Peer& peer);
   struct Pass {  // of one call to one peer
     CallRef call;
@@ -91,7 +81,6 @@
   void gone(const std::string& peer);    // its process has ended: the next in order is home meanwhile
   void silent(const std::string& peer);  // it may only be busy, and send to its instances
   bool is_silent(const std::string& peer) const;
-  void answered_by(const std::string& peer, const std::string& service, Micros took, bool served);
   void pump(const std::string& peer, const std::string& service);
   void requeue(const std::string& service);
   void show(const std::string& service);
@@ -113,7 +102,7 @@
   HomeView view_;
   bool informed_ = false;
   std::map<std::string, std::unique_ptr<FunctionScheduler>> schedulers_;
-  std::map<std::pair<std::string, std::string>, Window> windows_;  // by service and peer
+  std::map<std::pair<std::string, std::string>, PeerWindow> windows_;  // by service and peer
   std::minstd_rand random_;
   std::map<std::string, int> refusals_;  // connections that an instance has refused
   std::set<std::string> touched_;        // schedulers with something to report
