--- a/src/proxy/front.cpp
+++ b/src/proxy/front.cpp
@@ -1,410 +1,23 @@
 #include "proxy/front.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <charconv>
-#include <cstdio>
 
 #include "common/frames.h"
-#include "common/log.h"
-#include "text.h"
+#include "proxy/front_connection.h"
 
 namespace woadridge::proxy {
 namespace {
 
 using net::Fault;
-using net::HttpReader;
 
 constexpr Micros kSweep = 500'000;
-constexpr Micros kPeerIdle = 30'000'000;   // peers drop their own ends long before
-constexpr Micros kWayBack = 3'000;         // of an answer to the client, beside what its links take
-constexpr Micros kSlowTaker = 10'000'000;  // for an answer to be taken
-constexpr Micros kLingers = 300'000;  // after an early answer what still comes is read and dropped, so that
-                                      // the close doesn't take the answer with it
 constexpr double kClientsPart = 0.6;  // of the descriptors; the rest is for instances and peers
 constexpr std::uint32_t kOwnDescriptors =
-    232;                         // 200 are kept for files, the rest are listeners and the loop's
-constexpr double kPlanIn = 1.2;  // seconds: a core that has lost power is back with its plan about then
-constexpr Micros kPassRemembered = 1'000'000;  // past the deadline of a passing
-constexpr int kPassedEnough = 100;             // the second proxy that a call is sent to keeps it
+    232;  // 200 are kept for files, the rest are listeners and the loop's
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);
-constexpr std::int64_t kLongestMs = 24 * 3600 * 1000;  // guards sums of times against nonsense
-
-std::int64_t whole(std::string_view text, std::int64_t fallback) {
-  std::int64_t value = 0;
-  const auto [stop, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
-  const bool read = !text.empty() && bad == std::errc() && stop == text.data() + text.size() && value >= 0;
-  return read ? std::min(value, kLongestMs) : fallback;
-}
-
-std::uint64_t unbounded(std::string_view text) {  // 0: not a number
-  std::uint64_t value = 0;
-  const auto [stop, bad] = std::from_chars(text.data(), text.data() + text.size(), value);
-  return bad == std::errc() && stop == text.data() + text.size() ? value : 0;
-}
-
-bool printable(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
-}
 
 }  // namespace
 
-class Front::Visitor : public Asker, public std::enable_shared_from_this<Visitor> {
- public:
-  Visitor(Front& front, Door door, net::Socket socket)
-      : front_(front),
-        door_(door),
-        socket_(std::move(socket)),
-        reader_(HttpReader::Side::requests, limits(front, door), &front.dispatch_.space()) {}
-
-  static net::HttpLimits limits(const Front& front, Door door) {
-    const auto& limits = front.dispatch_.board().plan.limits;
-    constexpr std::size_t kOwnLines = 4096;  // what the first proxy has added to the head
-    return {limits.max_header_bytes + (door == Door::peers ? kOwnLines : 0), limits.max_body_bytes};
-  }
-
-  void start() {
-    since_ = front_.dispatch_.now();
-    Fault ignored;
-    socket_.non_blocking(true, ignored);
-    socket_.set_option(net::Tcp::no_delay(true), ignored);
-    read();
-  }
-
-  void reply(Reply reply) override {
-    if (closed_ || !waiting_) return;
-    waiting_ = false;
-    pass_ = nullptr;
-    --front_.busy_;
-    write(std::move(reply));
-  }
-
-  void close() {
-    if (std::exchange(closed_, true)) return;
-    if (std::exchange(waiting_, false)) --front_.busy_;
-    Fault ignored;
-    socket_.close(ignored);
-    const auto self = shared_from_this();
-    front_.visitors_.erase(place);
-  }
-
-  // The process ends: what may run elsewhere gets an answer all the same.
-  void give_up() {
-    if (waiting_) reply({502, {}, {}, 0, true, {}});
-  }
-
-  // A request that is there is taken, not cut off.
-  void close_if_idle() {
-    if (waiting_ || writing_ || lingering_ || !reader_.untouched()) return;
-    char byte;
-    Fault fault;
-    socket_.receive(boost::asio::buffer(&byte, 1), net::Socket::message_peek, fault);
-    if (fault) close();
-  }
-
-  void check_times(Micros now) {
-    const auto& limits = front_.dispatch_.board().plan.limits;
-    if (waiting_) return;
-    const Micros stood = now - since_;
-    if (lingering_) {
-      if (stood > kLingers) close();
-    } else if (writing_) {
-      if (stood > kSlowTaker) close();
-    } else if (reader_.untouched()) {
-      const Micros most =
-          door_ == Door::peers ? kPeerIdle : static_cast<Micros>(limits.idle_timeout_ms) * 1000;
-      if (stood > most) close_if_idle();
-    } else if (reader_.state() == HttpReader::State::head) {
-      if (stood > static_cast<Micros>(limits.header_timeout_ms) * 1000) turn_away(408);
-    } else if (stood > static_cast<Micros>(limits.idle_timeout_ms) * 1000) {
-      turn_away(408);
-    }
-  }
-
-  bool idle() const { return !waiting_ && !writing_ && reader_.untouched(); }
-  Door door() const { return door_; }
-  std::list<std::shared_ptr<Visitor>>::iterator place;
-
- private:
-  void read() {
-    auto self = shared_from_this();
-    socket_.async_wait(net::Socket::wait_read, [self](Fault failed) {
-      if (self->closed_) return;
-      if (failed) return self->close();
-      self->arrived();
-    });
-  }
-
-  void arrived() {
-    if (lingering_) {
-      char aside[4096];
-      Fault fault;
-      socket_.read_some(boost::asio::buffer(aside), fault);
-      if (fault && fault != boost::asio::error::would_block) return close();
-      return read();
-    }
-    const auto room = reader_.room();
-    if (room.empty()) return take();
-    Fault fault;
-    const auto bytes = socket_.read_some(boost::asio::buffer(room.data(), room.size()), fault);
-    if (fault == boost::asio::error::would_block) return read();
-    if (fault) return close();
-    if (reader_.untouched()) since_ = front_.dispatch_.now();
-    reader_.arrived(bytes);
-    take();
-  }
-
-  void take() {
-    using State = HttpReader::State;
-    if (reader_.state() == State::complete) return take_request();
-    if (reader_.state() != State::failed) {
-      if (reader_.state() == State::body && !told_on_ &&
-          net::same_name(reader_.header("Expect"), "100-continue")) {
-        told_on_ = true;
-        Fault ignored;
-        socket_.write_some(boost::asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
-      }
-      return read();
-    }
-    switch (reader_.fault()) {
-      case net::HttpFault::head_too_large:
-        return turn_away(431);
-      case net::HttpFault::body_too_large:
-        return turn_away(413);
-      case net::HttpFault::no_space:
-        return turn_away(503);
-      default:
-        return turn_away(400);
-    }
-  }
-
-  // Nothing behind what can't be used is read as a request: it may be the rest of this one.
-  void turn_away(int status) {
-    close_after_ = true;
-    Reply reply;
-    reply.status = status;
-    if (status == 503) reply.retry_after_s = 0.2;
-    write(std::move(reply));
-  }
-
-  void take_request() {
-    told_on_ = false;
-    if (!reader_.keep_alive() || front_.leaving_) close_after_ = true;
-    if (door_ == Door::readiness) return take_readiness();
-    auto call = std::make_shared<Call>();
-    const int fault = door_ == Door::peers ? fill_from_peer(*call) : fill(*call);
-    if (fault != 0) {
-      Reply reply;
-      reply.status = fault;
-      if (fault == 503) reply.retry_after_s = kPlanIn;
-      return write(std::move(reply));
-    }
-    if (door_ == Door::peers) return take_passed(std::move(call));
-    wait();
-    call->asker = weak_from_this();
-    front_.dispatch_.take(std::move(call));
-  }
-
-  void wait() {
-    waiting_ = true;
-    ++front_.busy_;
-  }
-
-  // From a peer: each passing is taken up once, and found again by its number.
-  void take_passed(CallRef call) {
-    granted_ = call->tries.granted();
-    const auto number = pass_number();
-    const Micros until = call->deadline + kPassRemembered;
-    const Micros now = front_.dispatch_.now();
-    if (!reader_.header(kRejoin).empty()) return rejoin(number, until, now);
-    wait();
-    if (number.sender == 0) {  // of an earlier release
-      call->asker = weak_from_this();
-      return front_.dispatch_.take(std::move(call));
-    }
-    pass_ = front_.peer_calls_.read(number, until, now);
-    if (!pass_) return reply(may_run_elsewhere());
-    pass_->wait(weak_from_this());
-    call->asker = pass_;
-    front_.dispatch_.take(std::move(call));
-  }
-
-  void rejoin(PassNumber number, Micros until, Micros now) {
-    wait();
-    const bool same =
-        unbounded(reader_.header(kRejoin)) == static_cast<std::uint64_t>(front_.dispatch_.boot());
-    if (!same || number.sender == 0) return reply(may_run_elsewhere());
-    auto search = front_.peer_calls_.find(number, until, now);
-    if (search.found == PeerCalls::Found::never_read) return reply(never_read());
-    if (search.found == PeerCalls::Found::unknown) return reply(may_run_elsewhere());
-    pass_ = search.call;
-    if (!pass_->answered()) return pass_->wait(weak_from_this());
-    reply(pass_->kept() ? *pass_->kept() : may_run_elsewhere());
-  }
-
-  Reply may_run_elsewhere() const {
-    Reply reply;
-    reply.used = granted_;
-    return reply;
-  }
-
-  static Reply never_read() {
-    Reply reply;
-    reply.status = kNeverRead;
-    return reply;
-  }
-
-  PassNumber pass_number() const {
-    const auto parts = split(reader_.header(kPass), '.');
-    if (parts.size() != 2) return {};
-    return {unbounded(parts[0]), unbounded(parts[1])};
-  }
-
-  void take_readiness() {
-    Reply reply;
-    const bool asks = reader_.method() == "GET" && reader_.target().substr(0, 14) == "/api/readiness";
-    reply.status = !asks ? 404 : front_.dispatch_.ready() ? 200 : 503;
-    write(std::move(reply));
-  }
-
-  void fill_common(Call& call) {
-    call.method = reader_.method();
-    call.target = reader_.target();
-    call.body = reader_.body();
-    call.held = reader_.held();
-    call.id = reader_.header(kAttemptId);
-    reader_.each_header([&](auto name, auto value) {
-      if (goes_along(name)) net::write_header(call.head, name, value);
-    });
-    call.came = since_;
-  }
-
-  int fill(Call& call) {
-    const auto& dispatch = front_.dispatch_;
-    if (dispatch.board().plan.version == 0) return 503;  // not told yet what is in force
-    for (const auto name : {kAttemptId, kDeadline, std::string_view("Host")})
-      if (reader_.repeats(name)) return 400;
-    if (!reader_.target().starts_with('/') || !printable(reader_.target())) return 400;
-    const auto* route = dispatch.router().route(reader_.header("Host"), reader_.target());
-    if (route == nullptr) return 404;
-    fill_common(call);
-    if (call.id.empty() || !printable(call.id)) return 400;
-    call.route = route->name;
-    call.service = route->service;
-    call.tries = Tries(route->repeatable, route->max_tries);
-    call.aim = static_cast<Micros>(route->target_ms) * 1000;
-    call.longest = static_cast<Micros>(route->deadline_ms) * 1000;
-    const Micros told = whole(reader_.header(kDeadline), route->deadline_ms) * 1000;
-    call.deadline = call.came + std::min(told, call.longest) - kWayBack;
-    return 0;
-  }
-
-  int fill_from_peer(Call& call) {
-    const auto via = split(reader_.header(kVia), ';');
-    constexpr std::size_t kFields = 9, kFieldsBefore = 7;  // an earlier release gives no count of its tries
-    if ((via.size() != kFields && via.size() != kFieldsBefore) || !reader_.target().starts_with('/'))
-      return 400;
-    fill_common(call);
-    call.from_peer = true;
-    call.service = via[0];
-    call.route = via[1];
-    const auto most = static_cast<std::uint32_t>(whole(via[3], 1));
-    const bool counted = via.size() == kFields;
-    const auto used = counted ? static_cast<std::uint32_t>(whole(via[7], most)) : 0;
-    const auto granted = counted ? static_cast<std::uint32_t>(whole(via[8], 1)) : most;
-    call.tries = Tries(via[2] == "r", most, used, granted);
-    call.aim = whole(via[4], 1000) * 1000;
-    call.longest = whole(via[5], 1000) * 1000;
-    call.hops = static_cast<int>(whole(via[6], 1));
-    call.passed_on = call.hops > 1 ? kPassedEnough : 0;
-    call.deadline = call.came + whole(reader_.header(kDeadline), 1000) * 1000;
-    return 0;
-  }
-
-  void write(Reply reply) {
-    if (door_ == Door::peers) {
-      if (reply.used) net::write_header(reply.head, kUsed, std::to_string(*reply.used));
-      net::write_header(reply.head, kBoot, std::to_string(front_.dispatch_.boot()));
-    }
-    if (reply.own && has_id()) net::write_header(reply.head, kAttemptId, reader_.header(kAttemptId));
-    if (reply.retry_after_s > 0) {
-      char seconds[32];
-      std::snprintf(seconds, sizeof seconds, "%.3f", reply.retry_after_s);
-      net::write_header(reply.head, "Retry-After", seconds);
-    }
-    if (front_.leaving_) close_after_ = true;
-    if (!close_after_ && door_ == Door::clients) {
-      const auto idle_s = front_.dispatch_.board().plan.limits.idle_timeout_ms / 1000;
-      if (idle_s > 1) net::write_header(reply.head, "Keep-Alive", "timeout=" + std::to_string(idle_s - 1));
-    }
-    out_.clear();
-    net::write_answer_head(out_, reply.status, reply.head, reply.body.size(), !close_after_);
-    if (reader_.state() != HttpReader::State::complete || reader_.method() != "HEAD") out_ += reply.body;
-    sent_ = 0;
-    writing_ = true;
-    since_ = front_.dispatch_.now();
-    flush();
-  }
-
-  // A peer matches answers by it, also those to what can't be used.
-  bool has_id() const {
-    if (reader_.header(kAttemptId).empty()) return false;
-    return reader_.state() == HttpReader::State::complete || door_ == Door::peers;
-  }
-
-  void flush() {
-    while (sent_ < out_.size()) {
-      Fault fault;
-      const auto bytes =
-          socket_.write_some(boost::asio::buffer(out_.data() + sent_, out_.size() - sent_), fault);
-      if (fault == boost::asio::error::would_block) {
-        auto self = shared_from_this();
-        socket_.async_wait(net::Socket::wait_write, [self](Fault failed) {
-          if (self->closed_) return;
-          if (failed) return self->close();
-          self->flush();
-        });
-        return;
-      }
-      if (fault) return close();
-      sent_ += bytes;
-    }
-    written();
-  }
-
-  void written() {
-    writing_ = false;
-    since_ = front_.dispatch_.now();
-    if (out_.capacity() > 64 * 1024) std::string().swap(out_);
-    if (close_after_) {
-      Fault ignored;
-      socket_.shutdown(net::Socket::shutdown_send, ignored);
-      lingering_ = true;
-      return read();
-    }
-    reader_.next();
-    // What came behind is the next request; not from inside this one's answer.
-    if (reader_.untouched()) return read();
-    auto self = shared_from_this();
-    boost::asio::post(socket_.get_executor(), [self] {
-      if (!self->closed_) self->take();
-    });
-  }
-
-  Front& front_;
-  Door door_;
-  net::Socket socket_;
-  HttpReader reader_;
-  std::string out_;
-  std::size_t sent_ = 0;
-  std::shared_ptr<PeerCall> pass_;  // that the answer which is waited for belongs to
-  std::uint32_t granted_ = 1;
-  Micros since_ = 0;  // of the first byte of the request, or of what the connection does now
-  bool waiting_ = false, writing_ = false, lingering_ = false;
-  bool close_after_ = false, closed_ = false, told_on_ = false;
-};
-
 Front::Front(net::Strand strand, Dispatch& dispatch) : strand_(strand), dispatch_(dispatch) {
   dispatch_.alarms().at(dispatch_.now() + kSweep, [this] { sweep(); });
 }
@@ -412,30 +25,30 @@
 Front::~Front() = default;
 
 common::Result<void> Front::open(Door door, const common::Endpoint& place) {
-  auto& entrance = entrances_.emplace_back(Entrance{door, net::Acceptor(strand_), net::Timer(strand_)});
+  auto& listener = listeners_.emplace_back(Listener{door, net::Acceptor(strand_), net::Timer(strand_)});
   Fault fault;
-  entrance.acceptor.open(net::Tcp::v4(), fault);
-  if (!fault) entrance.acceptor.set_option(net::Acceptor::reuse_address(true), fault);
-  if (!fault) entrance.acceptor.bind(common::endpoint_of(place), fault);
-  if (!fault) entrance.acceptor.listen(1024, fault);
+  listener.acceptor.open(net::Tcp::v4(), fault);
+  if (!fault) listener.acceptor.set_option(net::Acceptor::reuse_address(true), fault);
+  if (!fault) listener.acceptor.bind(common::endpoint_of(place), fault);
+  if (!fault) listener.acceptor.listen(1024, fault);
   if (fault) return common::Fault{common::Trouble::unreadable, place.text() + ": " + fault.message()};
-  accept(entrance);
+  accept(listener);
   return boost::outcome_v2::success();
 }
 
-void Front::accept(Entrance& entrance) {
-  entrance.acceptor.async_accept([this, &entrance](Fault failed, net::Socket socket) {
-    if (stopped_ || !entrance.acceptor.is_open()) return;
+void Front::accept(Listener& listener) {
+  listener.acceptor.async_accept([this, &listener](Fault failed, net::Socket socket) {
+    if (stopped_ || !listener.acceptor.is_open()) return;
     if (!failed) {
       make_room();
-      auto visitor = std::make_shared<Visitor>(*this, entrance.door, std::move(socket));
-      visitor->place = visitors_.insert(visitors_.end(), visitor);
-      visitor->start();
-      return accept(entrance);
+      auto connection = std::make_shared<Connection>(*this, listener.door, std::move(socket));
+      connection->place = connections_.insert(connections_.end(), connection);
+      connection->start();
+      return accept(listener);
     }
-    entrance.again.expires_after(kAcceptAgain);
-    entrance.again.async_wait([this, &entrance](Fault stopped) {
-      if (!stopped && !stopped_ && entrance.acceptor.is_open()) accept(entrance);
+    listener.again.expires_after(kAcceptAgain);
+    listener.again.async_wait([this, &listener](Fault stopped) {
+      if (!stopped && !stopped_ && listener.acceptor.is_open()) accept(listener);
     });
   });
 }
@@ -445,25 +58,26 @@
   const auto fds = dispatch_.settings().max_fds;
   const auto own = std::min(kOwnDescriptors, fds / 2);
   const auto most = static_cast<std::size_t>(std::max(1.0, kClientsPart * (fds - own)));
-  if (visitors_.size() < most) return;
-  const auto oldest = std::find_if(visitors_.begin(), visitors_.end(), [](auto& v) { return v->idle(); });
-  if (oldest != visitors_.end()) (*oldest)->close();
+  if (connections_.size() < most) return;
+  const auto oldest =
+      std::find_if(connections_.begin(), connections_.end(), [](auto& v) { return v->idle(); });
+  if (oldest != connections_.end()) (*oldest)->close();
 }
 
 void Front::sweep() {
   const Micros now = dispatch_.now();
-  for (auto at = visitors_.begin(); at != visitors_.end();) {
-    const auto visitor = *at++;
-    visitor->check_times(now);
+  for (auto at = connections_.begin(); at != connections_.end();) {
+    const auto connection = *at++;
+    connection->check_times(now);
   }
   if (!stopped_) dispatch_.alarms().at(now + kSweep, [this] { sweep(); });
 }
 
 void Front::close_door(Door door) {
-  for (auto& entrance : entrances_) {
-    if (entrance.door != door) continue;
+  for (auto& listener : listeners_) {
+    if (listener.door != door) continue;
     Fault ignored;
-    entrance.acceptor.close(ignored);
+    listener.acceptor.close(ignored);
   }
 }
 
@@ -473,15 +87,15 @@
 
 void Front::stop() {
   stopped_ = true;
-  for (auto& entrance : entrances_) {
+  for (auto& listener : listeners_) {
     Fault ignored;
-    entrance.acceptor.close(ignored);
-    entrance.again.cancel();
+    listener.acceptor.close(ignored);
+    listener.again.cancel();
   }
-  while (!visitors_.empty()) {
-    const auto visitor = visitors_.front();
-    visitor->give_up();
-    visitor->close();
+  while (!connections_.empty()) {
+    const auto connection = connections_.front();
+    connection->give_up();
+    connection->close();
   }
 }
 
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -22,21 +22,21 @@
   std::size_t busy() const { return busy_; }  // connections whose request has no whole answer yet
 
  private:
-  class Visitor;
-  friend class Visitor;
-  struct Entrance {
+  class Connection;
+  friend class Connection;
+  struct Listener {
     Door door;
     net::Acceptor acceptor;
     net::Timer again;
   };
-  void accept(Entrance& entrance);
+  void accept(Listener& listener);
   void sweep();
   void make_room();
 
   net::Strand strand_;
   Dispatch& dispatch_;
-  std::list<Entrance> entrances_;
-  std::list<std::shared_ptr<Visitor>> visitors_;  // those that came or asked last are last
+  std::list<Listener> listeners_;
+  std::list<std::shared_ptr<Connection>> connections_;  // those that came or asked last are last
   PeerCalls peer_calls_;
   std::size_t busy_ = 0;
   bool leaving_ = false, stopped_ = false;
