A dispatcher that is told to end does, though a timer that was due fires after it was cancelled

Cause (gdb, timerfd): the look at other processes re-armed itself after finish(), as its handler was queued when the timer was cancelled.

--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -186,6 +186,7 @@
 }
 
 void Admin::sweep() {
+  if (stopped_) return;
   const Micros now = clock_.now();
   const std::list<std::shared_ptr<AdminConnection>> all = callers_;
   for (const auto& caller : all) caller->drop_if_slow(now);
@@ -196,6 +197,7 @@
 }
 
 void Admin::stop() {
+  stopped_ = true;
   listener_.close();
   sweeper_.cancel();
   while (!callers_.empty()) callers_.front()->close();
--- a/src/net/admin.h
+++ b/src/net/admin.h
@@ -85,6 +85,7 @@
   Operations& operations_;
   Listener listener_;
   Timer sweeper_;
+  bool stopped_ = false;
   std::list<std::shared_ptr<AdminConnection>> callers_;
 };
 
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -122,6 +122,7 @@
 }
 
 void Service::look_round() {
+  if (finished_) return;  // a timer that was due already fires though it is cancelled
   learn_bans();
   look_for_another();
   if (!intake_.listens() && told_to_end_ == 0 && may_listen())
@@ -235,7 +236,7 @@
 
 void Service::await_reload() {
   reload_signal_.async_wait([this](Fault cancelled, int) {
-    if (cancelled) return;
+    if (cancelled || finished_) return;
     reload();
     await_reload();
   });
@@ -339,6 +340,7 @@
 }
 
 void Service::finish() {
+  finished_ = true;
   spdlog::info("ended with {} requests not answered", engine_.unanswered());
   timer_.cancel();
   standby_timer_.cancel();
--- a/src/net/service.h
+++ b/src/net/service.h
@@ -75,6 +75,7 @@
   Micros begun_ = 0;
   bool other_served_ = false;  // ... and has taken clients
   Beside told_beside_;
+  bool finished_ = false;  // everything is closed, the loop runs out
   bool handed_over_ = false;
   Micros standby_since_ = 0;  // 0: takes clients
   Micros told_to_end_ = 0;
