A call whose client has left is taken back

Cause: nothing read a client's connection between taking a request and writing its answer, so a close wasn't seen; and no holder of a call (the function's books, the queue for a peer, a passing, the home of a passing) could take it back.

Why it works: the connection is read while its request waits, and a half-close is told from a close by sending the start that every answer shares ahead, a byte at a time: who has closed resets. Each holder says how a call is taken back; what may run once only and is at work runs to its end and isn't sent anew, its outcome is kept. A home waits 150 ms before it takes a broken passing for abandoned, since its sender may only have lost the connection and asks again.

--- a/src/proxy/call.h
+++ b/src/proxy/call.h
@@ -1,6 +1,7 @@
 // A request on its way through the proxy, and its answer.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,8 @@
   int passed_on = 0;    // times that it was sent to a peer
   int hops = 0;         // proxies that it has passed before
   std::weak_ptr<Asker> asker;
+  bool abandoned = false;          // nobody waits for its answer any more: it isn't sent again
+  std::function<void()> withdraw;  // takes it back from whoever holds it now, who sets this
 };
 
 using CallRef = std::shared_ptr<Call>;
--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -155,11 +155,17 @@
 
 // What may have run gets no promise.
 void Dispatch::refuse(const CallRef& call, double retry_after_s) {
-  if (!call->tries.may_promise()) answer(call, {502, {}, {}, 0, true, {}});
+  if (call->abandoned || !call->tries.may_promise()) answer(call, {502, {}, {}, 0, true, {}});
   else answer(call, {503, {}, {}, retry_after_s, true, {}});
 }
 
+void Dispatch::abandon(const CallRef& call) {
+  if (std::exchange(call->abandoned, true)) return;
+  if (const auto withdraw = std::exchange(call->withdraw, nullptr)) withdraw();
+}
+
 void Dispatch::take(CallRef call) {
+  if (call->abandoned) return refuse(call, kHomeMoved);
   const bool here = is_home(call->service);
   // From a peer: this is its home, or was a moment ago.
   const int most = call->from_peer ? kMostPassedAgain : kMostPassed;
@@ -191,13 +197,17 @@
   const Micros wait = at.expected_wait();
   if (now() + wait > call->deadline) return refuse(call, std::max(0.1, static_cast<double>(wait) / 2e6));
   at.waiting.push_back(call);
-  alarms_.at(call->deadline - kHopAhead, [this, weak = std::weak_ptr(call), name = peer.name] {
-    const auto late = weak.lock();
-    if (!late) return;
-    const auto found = windows_.find({late->service, name});
-    if (found == windows_.end() || std::erase(found->second.waiting, late) == 0) return;
-    refuse(late, 0.2);
-  });
+  const auto leaves = [this, weak = std::weak_ptr(call), name = peer.name] { leave_queue(weak, name); };
+  call->withdraw = leaves;
+  alarms_.at(call->deadline - kHopAhead, leaves);
+}
+
+void Dispatch::leave_queue(const std::weak_ptr<Call>& waiting, const std::string& peer) {
+  const auto call = waiting.lock();
+  if (!call) return;
+  const auto found = windows_.find({call->service, peer});
+  if (found == windows_.end() || std::erase(found->second.waiting, call) == 0) return;
+  refuse(call, 0.2);
 }
 
 void Dispatch::pump(const std::string& peer, const std::string& service) {
@@ -236,16 +246,29 @@
   pass->sent = now();
   pass->call = std::move(call);
   send(pass);
-  // The alarm outlives most calls by seconds: it must not keep their buffers.
-  alarms_.at(pass->call->deadline, [this, weak = std::weak_ptr(pass)] {
+  // Both outlive most calls, the alarm by seconds: they must not keep the buffers.
+  const std::weak_ptr weak = pass;
+  alarms_.at(pass->call->deadline, [this, weak] {
     const auto late = weak.lock();
-    if (!late || std::exchange(late->over, true)) return;
-    outbound_.drop(late->outbound);
-    late->call->tries.peer_lost(late->grant);
-    answer(late->call, {504, {}, {}, 0, true, {}});
+    if (!late || !break_off(*late, 504)) return;
     window(late->peer, late->call->service).ended(now(), now() - late->sent, false);
     pump(late->peer, late->call->service);
   });
+  pass->call->withdraw = [this, weak] {
+    const auto left = weak.lock();
+    if (!left || !break_off(*left, 502)) return;
+    window(left->peer, left->call->service).withdrawn();
+    pump(left->peer, left->call->service);
+  };
+}
+
+// The peer sees its connection close, and takes the call back unless it is asked for it again.
+bool Dispatch::break_off(Pass& pass, int status) {
+  if (std::exchange(pass.over, true)) return false;
+  outbound_.drop(pass.outbound);
+  pass.call->tries.peer_lost(pass.grant);
+  answer(pass.call, {status, {}, {}, 0, true, {}});
+  return true;
 }
 
 void Dispatch::send(const PassRef& pass) {
--- a/src/proxy/dispatch.h
+++ b/src/proxy/dispatch.h
@@ -22,6 +22,9 @@
   Dispatch(net::Strand strand, common::Settings settings);
 
   void take(CallRef call);
+  // Its client has left: what waits or may be repeated is taken back, what may run once only and is at work
+  // runs to its end.
+  void abandon(const CallRef& call);
   void told(const common::News& news);
   void on_report(OnReport tell) { tell_ = std::move(tell); }
   void leave(Micros at);  // told to end: no home from now on, what is open is answered by then
@@ -60,6 +63,7 @@
   FunctionScheduler& scheduler(const std::string& service);
   PeerWindow& window(const std::string& peer, const std::string& service);
   void queue(CallRef call, const common::Peer& peer);
+  void leave_queue(const std::weak_ptr<Call>& waiting, const std::string& peer);
   struct Pass {  // of one call to one peer
     CallRef call;
     std::string peer;
@@ -75,6 +79,7 @@
   using PassRef = std::shared_ptr<Pass>;
   void pass_on(CallRef call, const common::Peer& peer);
   void send(const PassRef& pass);
+  bool break_off(Pass& pass, int status);  // false: it has ended before
   void ended(const PassRef& pass, OutboundResult end);
   void log_once_only(const char* what, const Pass& pass, const OutboundResult& end) const;
   void unreachable(const std::string& peer, OutboundResult::How how);
--- a/src/proxy/front.cpp
+++ b/src/proxy/front.cpp
@@ -13,7 +13,8 @@
 constexpr Micros kSweep = 500'000;
 constexpr double kClientsPart = 0.6;  // of the descriptors; the rest is for instances and peers
 constexpr std::uint32_t kOwnDescriptors =
-    232;  // 200 are kept for files, the rest are listeners and the loop's
+    232;                                    // 200 are kept for files, the rest are listeners and the loop's
+constexpr Micros kRejoinsWithin = 150'000;  // that a peer asks again for a call whose connection broke
 constexpr auto kAcceptAgain = std::chrono::milliseconds(20);
 
 }  // namespace
@@ -73,6 +74,15 @@
   if (!stopped_) dispatch_.alarms().at(now + kSweep, [this] { sweep(); });
 }
 
+// A connection that broke looks like one that a peer has closed because its client has left.
+void Front::abandon_if_alone(const std::shared_ptr<PeerCall>& pass) {
+  dispatch_.alarms().at(dispatch_.now() + kRejoinsWithin, [this, weak = std::weak_ptr(pass)] {
+    const auto left = weak.lock();
+    if (!left || !left->is_alone()) return;
+    if (const auto call = left->call.lock()) dispatch_.abandon(call);
+  });
+}
+
 void Front::close_door(Door door) {
   for (auto& listener : listeners_) {
     if (listener.door != door) continue;
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -32,6 +32,7 @@
   void accept(Listener& listener);
   void sweep();
   void make_room();
+  void abandon_if_alone(const std::shared_ptr<PeerCall>& pass);
 
   net::Strand strand_;
   Dispatch& dispatch_;
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -17,7 +17,9 @@
 constexpr Micros kSlowTaker = 10'000'000;  // for an answer to be taken
 constexpr Micros kLingers = 300'000;  // after an early answer what still comes is read and dropped, so that
                                       // the close doesn't take the answer with it
-constexpr double kPlanIn = 1.2;       // seconds: a core that has lost power is back with its plan about then
+constexpr std::string_view kAnswerStart = "HTTP/1.1 ";  // of every answer
+constexpr Micros kProbeAgain = 25'000;                  // after the first byte of it, doubled with each one
+constexpr double kPlanIn = 1.2;  // seconds: a core that has lost power is back with its plan about then
 constexpr Micros kPassRemembered = 1'000'000;          // past the deadline of a passing
 constexpr int kPassedEnough = 100;                     // the second proxy that a call is sent to keeps it
 constexpr std::int64_t kLongestMs = 24 * 3600 * 1000;  // guards sums of times against nonsense
@@ -111,14 +113,56 @@
 }
 
 void Front::Connection::read() {
+  if (std::exchange(reading_, true)) return;
   auto self = shared_from_this();
   socket_.async_wait(net::Socket::wait_read, [self](Fault failed) {
+    self->reading_ = false;
     if (self->closed_) return;
-    if (failed) return self->close();
+    if (failed) return self->lost();
     self->arrived();
   });
 }
 
+// While a request waits for its answer, or has it in part: what comes is the next one, or the client's end.
+void Front::Connection::watch() {
+  const auto room = reader_.room();
+  if (room.empty()) return probe();
+  Fault fault;
+  const auto bytes = socket_.read_some(boost::asio::buffer(room.data(), room.size()), fault);
+  if (fault == boost::asio::error::would_block) return read();
+  if (fault == boost::asio::error::eof && door_ == Door::clients) return probe();
+  if (fault) return lost();
+  reader_.arrived(bytes);
+  read();
+}
+
+// Nothing more can be read, which doesn't tell a client that has closed its connection from one that has only
+// shut its sending side and waits for its answer. Bytes tell: who has closed resets the connection on getting
+// them. So the start that all answers share is sent ahead, byte by byte.
+void Front::Connection::probe() {
+  if (!waiting_ || probed_ == kAnswerStart.size()) return;
+  Fault fault;
+  socket_.write_some(boost::asio::buffer(kAnswerStart.substr(probed_, 1)), fault);
+  if (fault && fault != boost::asio::error::would_block) return lost();
+  const Micros again = kProbeAgain << probed_;
+  if (!fault) ++probed_;
+  front_.dispatch_.alarms().at(front_.dispatch_.now() + again,
+                               [weak = weak_from_this(), request = requests_] {
+                                 const auto self = weak.lock();
+                                 if (self && !self->closed_ && self->requests_ == request) self->probe();
+                               });
+}
+
+// Nobody reads an answer from here any more.
+void Front::Connection::lost() {
+  const bool waited = waiting_;
+  const auto pass = pass_;
+  close();
+  if (!waited) return;
+  if (pass) return front_.abandon_if_alone(pass);
+  if (const auto call = call_.lock()) front_.dispatch_.abandon(call);
+}
+
 void Front::Connection::arrived() {
   if (lingering_) {
     char aside[4096];
@@ -127,6 +171,8 @@
     if (fault && fault != boost::asio::error::would_block) return close();
     return read();
   }
+  if (waiting_ || writing_) return watch();
+  if (reader_.state() == HttpReader::State::complete) return;  // it is about to be taken
   const auto room = reader_.room();
   if (room.empty()) return take();
   Fault fault;
@@ -185,13 +231,16 @@
   }
   if (door_ == Door::peers) return take_passed(std::move(call));
   wait();
+  call_ = call;
   call->asker = weak_from_this();
   front_.dispatch_.take(std::move(call));
 }
 
 void Front::Connection::wait() {
   waiting_ = true;
+  ++requests_;
   ++front_.busy_;
+  read();
 }
 
 // From a peer: each passing is taken up once, and found again by its number.
@@ -203,12 +252,14 @@
   if (!reader_.header(kRejoin).empty()) return rejoin(number, until, now);
   wait();
   if (number.sender == 0) {  // of an earlier release
+    call_ = call;
     call->asker = weak_from_this();
     return front_.dispatch_.take(std::move(call));
   }
   pass_ = front_.peer_calls_.read(number, until, now);
   if (!pass_) return reply(may_run_elsewhere());
   pass_->wait(weak_from_this());
+  pass_->call = call;
   call->asker = pass_;
   front_.dispatch_.take(std::move(call));
 }
@@ -323,7 +374,7 @@
   out_.clear();
   net::write_answer_head(out_, reply.status, reply.head, reply.body.size(), !close_after_);
   if (reader_.state() != HttpReader::State::complete || reader_.method() != "HEAD") out_ += reply.body;
-  sent_ = 0;
+  sent_ = std::exchange(probed_, 0);
   writing_ = true;
   since_ = front_.dispatch_.now();
   flush();
@@ -370,7 +421,7 @@
   if (reader_.untouched()) return read();
   auto self = shared_from_this();
   boost::asio::post(socket_.get_executor(), [self] {
-    if (!self->closed_) self->take();
+    if (!self->closed_ && !self->waiting_ && !self->writing_) self->take();
   });
 }
 
--- a/src/proxy/front_connection.h
+++ b/src/proxy/front_connection.h
@@ -28,6 +28,9 @@
  private:
   void read();
   void arrived();
+  void watch();
+  void probe();
+  void lost();
   void take();
   void turn_away(int status);
   void take_request();
@@ -52,10 +55,13 @@
   net::HttpReader reader_;
   std::string out_;
   std::size_t sent_ = 0;
-  std::shared_ptr<PeerCall> pass_;  // that the answer which is waited for belongs to
+  std::weak_ptr<Call> call_;        // whose answer is waited for
+  std::shared_ptr<PeerCall> pass_;  // that it belongs to, if a peer has passed it on
+  std::size_t probed_ = 0;          // bytes of the answer's start that are out already
+  std::uint64_t requests_ = 0;
   std::uint32_t granted_ = 1;
   Micros since_ = 0;  // of the first byte of the request, or of what the connection does now
-  bool waiting_ = false, writing_ = false, lingering_ = false;
+  bool reading_ = false, waiting_ = false, writing_ = false, lingering_ = false;
   bool close_after_ = false, closed_ = false, told_on_ = false;
 };
 
--- a/src/proxy/function_scheduler.cpp
+++ b/src/proxy/function_scheduler.cpp
@@ -22,7 +22,8 @@
 constexpr Micros kPollLeast = 40'000;
 constexpr double kPollPart = 0.06;  // of the mean start between two looks
 constexpr Micros kPollConnect = 400'000;
-constexpr int kMostPolls = 120;  // one that never comes up is the holder's to see
+constexpr Micros kCallOffTravels = 60'000;  // until an instance has seen the close, and its slot is free
+constexpr int kMostPolls = 120;             // one that never comes up is the holder's to see
 
 Result result_of(AttemptEnd end) {
   switch (end) {
@@ -96,6 +97,7 @@
   if (const auto found = estimates_.find(open.estimate_key); found != estimates_.end())
     arrival.hint = static_cast<Micros>(found->second);
   if (!call->tries.may_have_run()) firsts_.push_back(now);
+  call->withdraw = [this, id = arrival.id] { withdraw(id); };
   open.call = std::move(call);
   open_.emplace(arrival.id, std::move(open));
   ++held_;
@@ -267,13 +269,12 @@
   --busy_;
   const bool may_have_run = result == Result::broken || result == Result::cancelled;
   if (open.call && !may_have_run) open.call->tries.not_run();
-  if (open.call && may_have_run) {
-    open.call->tries.ran();
-    // The proxy that granted the try may have another.
-    if (open.out == 0 && !open.call->tries.may_run()) {
-      answered(open, {502, {}, {}, 0, true, {}});
-      finished = true;
-    }
+  if (open.call && may_have_run) open.call->tries.ran();
+  // The proxy that granted the try may have another.
+  const bool used_up = may_have_run && open.call && !open.call->tries.may_run();
+  if (open.call && open.out == 0 && (used_up || open.call->abandoned)) {
+    answered(open, {502, {}, {}, 0, true, {}});
+    finished = true;
   }
   const WorkerId instance = one.instance;
   const bool last_there = --out_at_[instance] == 0;
@@ -375,6 +376,32 @@
   return calls;
 }
 
+void FunctionScheduler::withdraw(RequestId id) {
+  const auto found = open_.find(id);
+  if (found == open_.end() || !found->second.call) return;
+  auto& open = found->second;
+  const bool runs_on = open.out > 0 && !open.call->tries.repeatable();
+  give(ClientLeft{id});
+  if (runs_on) return;
+  answered(open, {502, {}, {}, 0, true, {}});
+  call_off(id);
+  forget_if_over(id);
+  dispatch_.has_news(*this);
+}
+
+// Its attempts count as out until their instances can have seen the close: what is sent there sooner finds no
+// slot.
+void FunctionScheduler::call_off(RequestId id) {
+  auto& tries = open_.at(id).tries;
+  for (std::size_t n = 0; n < tries.size(); ++n) {
+    if (tries[n].outbound == 0) continue;
+    dispatch_.outbound().drop(std::exchange(tries[n].outbound, 0));
+    dispatch_.alarms().at(dispatch_.now() + kCallOffTravels, [this, id, attempt = static_cast<int>(n)] {
+      over(id, attempt, Result::cancelled, true);
+    });
+  }
+}
+
 void FunctionScheduler::leave(Micros at) {
   give(Ending{at});
 }
--- a/src/proxy/function_scheduler.h
+++ b/src/proxy/function_scheduler.h
@@ -26,6 +26,8 @@
   void instances(std::vector<common::Instance> all);
   // Another proxy is the home now: what has not been sent goes there.
   std::vector<CallRef> give_away();
+  // Its client has left: what waits or may be repeated ends now, what may run once only when it is through.
+  void withdraw(RequestId id);
   void leave(Micros at);                     // the process ends then
   bool fill_report(common::Demand& demand);  // false: nothing to say
   bool cold() const { return usable_ == 0 && held_ > 0; }
@@ -67,6 +69,7 @@
   void ended(RequestId id, int attempt, OutboundResult end);
   void time_out(RequestId id, int attempt);
   void over(RequestId id, int attempt, Result result, bool finished);
+  void call_off(RequestId id);
   void answered(Open& open, Reply reply);
   void log_unfinished(const Open& open, int status) const;
   void log_not_answered(const Open& open, const Try& attempt, const OutboundResult& end) const;
--- a/src/proxy/peer_calls.h
+++ b/src/proxy/peer_calls.h
@@ -28,9 +28,12 @@
   explicit PeerCall(PeerCalls& all) : all_(all) {}
   void reply(Reply reply) override;
   void wait(std::weak_ptr<Asker> asker) { asker_ = std::move(asker); }
+  // Its connection is gone, and its sender hasn't asked for it again on another one.
+  bool is_alone() const { return !answered_ && asker_.expired(); }
   bool answered() const { return answered_; }
   const std::optional<Reply>& kept() const { return kept_; }
   void forget_reply() { kept_.reset(); }
+  std::weak_ptr<Call> call;
   Micros until = 0;         // no connection can ask for it later
   bool never_read = false;  // its sender has been told so: it never runs
 
--- a/src/proxy/peer_window.h
+++ b/src/proxy/peer_window.h
@@ -20,6 +20,8 @@
   void begin() { ++out_; }
   /// `took`: microseconds until the call's end. `served`: it was answered, and not with 503.
   void ended(Micros now, Micros took, bool served);
+  /// The call's client has left, which says nothing of the home.
+  void withdrawn() { out_ -= out_ > 0 ? 1 : 0; }
   /// How long one more that waits has to, in microseconds.
   Micros expected_wait() const;
 
--- a/tests/platform/proxy/front_world.h
+++ b/tests/platform/proxy/front_world.h
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
@@ -76,6 +77,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
   int requests = 0;
   std::function<void()> on_request;
+  int closed() const { return *closed_; }  // connections that their other end has closed
 
  private:
   void accept() {
@@ -91,15 +93,20 @@
     std::string in;
   };
   void read(const std::shared_ptr<Line>& line) {
-    boost::asio::async_read_until(line->socket, boost::asio::dynamic_buffer(line->in), "\r\n\r\n",
-                                  [this, line](boost::system::error_code failed, std::size_t) {
-                                    if (failed) return;
-                                    ++requests;
-                                    line->in.clear();
-                                    if (on_request) on_request();
-                                    read(line);
-                                  });
+    boost::asio::async_read_until(
+        line->socket, boost::asio::dynamic_buffer(line->in), "\r\n\r\n",
+        [this, line, closed = closed_](boost::system::error_code failed, std::size_t) {
+          if (failed) {
+            ++*closed;
+            return;
+          }
+          ++requests;
+          line->in.clear();
+          if (on_request) on_request();
+          read(line);
+        });
   }
+  std::shared_ptr<int> closed_ = std::make_shared<int>(0);  // lines may outlive this
   tcp::acceptor acceptor_;
 };
 
@@ -118,6 +125,28 @@
   return s;
 }
 
+class Caller {  // a client whose connection the test holds, to close it when it likes
+ public:
+  Caller(boost::asio::io_context& loop, std::uint16_t port) : socket_(loop) {
+    socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  }
+  void send(const std::string& text) { boost::asio::write(socket_, boost::asio::buffer(text)); }
+  void shut_sending_side() { socket_.shutdown(tcp::socket::shutdown_send); }
+  void close() { socket_.close(); }
+  void reset() {
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
+  std::string arrived() {  // what has come, without waiting
+    std::string bytes(socket_.available(), '\0');
+    boost::asio::read(socket_, boost::asio::buffer(bytes));
+    return bytes;
+  }
+
+ private:
+  tcp::socket socket_;
+};
+
 class FrontWorld : public Utest {
  protected:
   boost::asio::io_context loop;
@@ -174,10 +203,14 @@
     return said(peers_port, what, "77", "X-Woadridge-Via: fn;write;" + counts + "\r\n" + more);
   }
   std::string boot() const { return std::to_string(dispatch->boot()); }
+  static std::string request(const std::string& what, const std::string& id = "77",
+                             const std::string& more = "") {
+    return what + " HTTP/1.1\r\nHost: h.example\r\nX-Woadridge-Attempt-Id: " + id +
+           "\r\nX-Woadridge-Deadline-Ms: 2000\r\nX-Own: kept\r\n" + more + "\r\n";
+  }
   std::string said(std::uint16_t to, const std::string& what, const std::string& id,
                    const std::string& more) {
-    const std::string text = what + " HTTP/1.1\r\nHost: h.example\r\nX-Woadridge-Attempt-Id: " + id +
-                             "\r\nX-Woadridge-Deadline-Ms: 2000\r\nX-Own: kept\r\n" + more + "\r\n";
+    const std::string text = request(what, id, more);
     tcp::socket client(loop);
     client.connect({boost::asio::ip::make_address("127.0.0.1"), to});
     boost::asio::write(client, boost::asio::buffer(text));
