The holder reckons with any concurrency at once, and numbers are cut instead of wrapped round

Cause: share_waiting() counted up to all slots in 32 bits, on the holder's strand.

Why it works: the loop ends where nothing is left to wait, so the work that is there bounds it; products are in floating point, what is narrowed is cut to what its type holds. No value is refused that was taken before, so a disk that holds one can be started with.

--- a/src/autoscaler/autoscaler.cpp
+++ b/src/autoscaler/autoscaler.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 
 #include "common/homes.h"
+#include "common/saturate.h"
 
 namespace woadridge::autoscaler {
 namespace {
@@ -25,7 +26,7 @@
 constexpr double kNoTimeForStart = 0.5;  // share of late cold starts: with so many it's warm ahead of traffic
 
 Micros micros(double seconds) {
-  return static_cast<Micros>(seconds * 1e6);
+  return common::saturated<Micros>(seconds * 1e6);
 }
 
 std::string hex(std::uint64_t number) {
--- a/src/autoscaler/need.cpp
+++ b/src/autoscaler/need.cpp
@@ -8,15 +8,19 @@
 
 constexpr double kStartSpread = 0.3;  // of starts, in logarithms: what platforms of functions show
 constexpr double kWayS = 0.15;  // from the request held to the call, and from being up to the first answer
-constexpr std::uint32_t kMost = 64;   // instances of one function: above, each decision adds some more
-constexpr int kSamples = 8;           // of those that wait and of those that come: finer changes no number
-constexpr std::uint32_t kLookOn = 2;  // one more may be no help where two are
-constexpr double kUseAfterS = 2;      // that an instance stays after those that it was started for
+constexpr std::uint32_t kMost = 64;    // instances of one function: above, each decision adds some more
+constexpr int kSamples = 8;            // of those that wait and of those that come: finer changes no number
+constexpr std::uint32_t kLookOn = 2;   // one more may be no help where two are
+constexpr double kNegligible = 1e-12;  // share of requests: changes no decision
+constexpr double kUseAfterS = 2;       // that an instance stays after those that it was started for
 
-// Erlang's C: the share of requests that wait, with `load` of work for `slots`.
-double share_waiting(std::uint32_t slots, double load) {
+// Erlang's C: the share of requests that wait, with `load` of work for `slots`. A few more slots than work
+// leave nothing of it, so the work bounds the loop and not the slots, of which a configuration may allow any
+// number.
+double share_waiting(double slots, double load) {
   double blocked = 1;
-  for (std::uint32_t n = 1; n <= slots; ++n) blocked = load * blocked / (n + load * blocked);
+  for (double n = 1; n <= slots && blocked > kNegligible; ++n)
+    blocked = load * blocked / (n + load * blocked);
   const double use = load / slots;
   return blocked / (1 - use * (1 - blocked));
 }
@@ -46,7 +50,7 @@
   const auto least = std::max(static_cast<std::uint32_t>(load / trade.slots) + 1,
                               static_cast<std::uint32_t>(std::ceil(reading.pressed / trade.slots)));
   for (std::uint32_t count = least; count <= least + kMost; ++count) {
-    const auto slots = count * trade.slots;
+    const double slots = static_cast<double>(count) * trade.slots;
     const double drain_s = reading.work_s * (1 + reading.spread) / 2 / (slots - load);
     const double late = share_waiting(slots, load) * std::exp(-slack / std::max(1e-6, drain_s));
     const double cost = count * trade.memory_gb + rate * late * prices.late;
@@ -64,7 +68,8 @@
                              std::uint32_t ready, std::uint32_t starting, double up_in_s) {
   if (reading.held == 0) return 0;
   const double work = std::max(1e-3, reading.work_s), rate = reading.rate;
-  const double slots = ready * trade.slots, coming = starting * trade.slots;
+  const double slots = static_cast<double>(ready) * trade.slots;
+  const double coming = static_cast<double>(starting) * trade.slots;
   const double later_s = std::max(up_in_s, trade.startup_s + kWayS);
   const double aim = std::max(0.0, trade.aim_s - work), deadline = std::max(0.0, trade.deadline_s - work);
   const double horizon_s = later_s + kUseAfterS;
@@ -78,7 +83,7 @@
     return middle + more > 0 ? later_s + amount / (middle + more) : 1e9;
   };
   const auto loss = [&](std::uint32_t count) {
-    const double more = count * trade.slots;
+    const double more = static_cast<double>(count) * trade.slots;
     double sum = count * (prices.start + trade.memory_gb * horizon_s);
     const auto add = [&](double weight, double wait_s) {
       // Late by little is better than late by much: half of the price of lateness stands for that.
--- a/src/common/messages.cpp
+++ b/src/common/messages.cpp
@@ -54,7 +54,7 @@
   std::uint64_t hash = fnv1a(i.id);
   for (const auto* text : {&i.service, &i.address, &i.zone, &i.home, &i.waits_for})
     hash = fnv1a(*text, hash * 31 + 7);
-  return hash * 31 + i.capacity * 4 + static_cast<std::uint64_t>(i.condition);
+  return hash * 31 + static_cast<std::uint64_t>(i.capacity) * 4 + static_cast<std::uint64_t>(i.condition);
 }
 
 void put_change(News& news, const Plan& from, const Plan& to) {
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -4,19 +4,18 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <memory>
 #include <optional>
 #include <unordered_set>
 #include <utility>
 
 #include "common/log.h"
+#include "common/saturate.h"
 
 namespace woadridge::configuration {
 namespace {
 
 using Json = std::unique_ptr<json_t, decltype(&json_decref)>;
-constexpr std::uint32_t kMost = std::numeric_limits<std::uint32_t>::max();
 constexpr std::size_t kNameShown = 64;  // of a name, in a fault: the answer stays small whatever was sent
 
 std::string quoted(std::string_view name) {
@@ -40,7 +39,7 @@
   if (!json_is_number(value)) return std::nullopt;
   const double number = json_number_value(value);
   if (!std::isfinite(number) || number < 0) return std::nullopt;
-  return number >= kMost ? kMost : static_cast<std::uint32_t>(std::ceil(number));
+  return common::saturated<std::uint32_t>(std::ceil(number));
 }
 
 // Hosts are compared without regard to case, and without a port.
--- a/src/controller/provider.cpp
+++ b/src/controller/provider.cpp
@@ -9,6 +9,7 @@
 
 #include "common/frames.h"
 #include "common/log.h"
+#include "common/saturate.h"
 #include "net/http.h"
 
 namespace woadridge::controller {
@@ -39,8 +40,7 @@
 
 std::uint32_t number_of(const json_t* object, const char* key) {
   const json_t* value = json_object_get(object, key);
-  const double number = json_is_number(value) ? json_number_value(value) : 0;
-  return number > 0 && number < 4e9 ? static_cast<std::uint32_t>(number) : 0;
+  return json_is_number(value) ? common::saturated<std::uint32_t>(json_number_value(value)) : 0;
 }
 
 ProviderFault fault_of(int status) {
--- a/src/proxy/function_scheduler.cpp
+++ b/src/proxy/function_scheduler.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 
 #include "common/log.h"
+#include "common/saturate.h"
 #include "proxy/dispatch.h"
 #include "proxy/verdict.h"
 #include "text.h"
@@ -73,7 +74,7 @@
   made.aim = call.aim;
   made.deadline = call.longest;
   made.late_worth = 0.5;  // some: what is late still counts as served
-  made.max_attempts = static_cast<int>(call.tries.most());
+  made.max_attempts = common::saturated<int>(call.tries.most());
   classes.push_back(made);
   settings_.max_attempts = std::max(settings_.max_attempts, made.max_attempts);
   give(Change{settings_});
--- a/tests/platform/autoscaler/autoscaler_test.cpp
+++ b/tests/platform/autoscaler/autoscaler_test.cpp
@@ -1,5 +1,6 @@
 // What autoscaler does in each single case that it is meant for.
 #include <algorithm>
+#include <limits>
 #include <set>
 
 #include "common/homes.h"
@@ -372,3 +373,26 @@
   world.run(world.now + 20 * kS);
   CHECK(world.tally.starts >= 150);
 }
+
+// Guards against numbers that the check of a configuration takes and the holder can't work with: whatever one
+// function asks for, the others are served.
+TEST(Autoscaler, AFunctionWithTheLeastOrTheLargestNumbersHoldsUpNoOther) {
+  constexpr std::uint32_t kMost = std::numeric_limits<std::uint32_t>::max();
+  constexpr unsigned kCases = 32;
+  for (unsigned chosen = 0; chosen < kCases; ++chosen) {
+    const auto number = [chosen](unsigned bit) { return (chosen & (1u << bit)) != 0 ? kMost : 1u; };
+    World world(chosen + 1);
+    world.fleet(2, 4096);
+    world.service("plain", 128, 900, 1, 1500);
+    world.service("odd", number(0), number(1), number(2), number(3), number(4));
+    world.configure(1);
+    world.proxies(kPeers);
+    world.begin(7);
+    world.run(3 * kS);
+    world.report("p1", held("odd", 40, 4000));
+    world.traffic({"plain", 4, 0.08, 0.5, 1.5, 8, world.now, 8 * kS});
+    world.run(15 * kS);
+    CHECK_EQUAL(0, world.tally.lost);
+    CHECK(starts(world, "plain") > 0);
+  }
+}
--- a/tests/platform/autoscaler/need_test.cpp
+++ b/tests/platform/autoscaler/need_test.cpp
@@ -1,5 +1,8 @@
 #include "autoscaler/need.h"
 
+#include <chrono>
+#include <limits>
+
 // Last: its macros for new and delete break the standard library's headers.
 #include <CppUTest/TestHarness.h>
 
@@ -57,6 +60,23 @@
   CHECK(worth_starting(prices, small, reading, 1, 0, 0.9) >= 2);
 }
 
+// Guards against a holder that counts up to a concurrency which stands for "no limit": it held the strand up
+// for seconds, or for ever.
+TEST(Need, ManySlotsAreReckonedAtOnce) {
+  constexpr std::uint32_t kMost = std::numeric_limits<std::uint32_t>::max();
+  const auto began = std::chrono::steady_clock::now();
+  auto reading = steady(1000, 0.5, 1);
+  reading.held = 60;
+  reading.pressed = 600;
+  for (const std::uint32_t slots : {1'000'000u, kMost / 2, kMost / 2 + 1, kMost}) {
+    Trade trade = large;
+    trade.slots = slots;
+    CHECK_EQUAL(1, worth_keeping(prices, trade, reading, 1.25));
+    CHECK_EQUAL(0, worth_starting(prices, trade, reading, 2, 2, 0.9));
+  }
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(1));
+}
+
 TEST_GROUP(DemandEstimate){};
 
 TEST(DemandEstimate, AJumpShowsSoonAndGoesSlowlyAndChanceDoesNot) {
--- a/tests/platform/proxy/common_test.cpp
+++ b/tests/platform/proxy/common_test.cpp
@@ -1,11 +1,14 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <random>
 
 #include "common/frames.h"
 #include "common/homes.h"
+#include "common/messages.h"
+#include "common/saturate.h"
 #include "common/settings.h"
 
 using namespace woadridge;
@@ -159,3 +162,26 @@
   }
   for (const auto& [name, functions] : load) CHECK(functions > 60 && functions < 140);
 }
+
+// Guards against a board that takes two instances for the same whose capacities differ by a large step.
+TEST_GROUP(Sum){};
+
+TEST(Sum, TellsCapacitiesApartThatDifferByTheUpperBits) {
+  common::Instance one{"i-1", "fn", "127.0.0.1:9", "a", "m1", 1, common::Condition::ready, 0, ""};
+  common::Instance other = one;
+  other.capacity += 1u << 30;
+  CHECK(common::sum_of(one) != common::sum_of(other));
+}
+
+TEST_GROUP(Saturated){};
+
+TEST(Saturated, CutsWhatDoesNotFitAndKeepsTheRest) {
+  constexpr std::uint32_t kMost = std::numeric_limits<std::uint32_t>::max();
+  CHECK_EQUAL(0u, common::saturated<std::uint32_t>(-1));
+  CHECK_EQUAL(7u, common::saturated<std::uint32_t>(7.9));
+  CHECK_EQUAL(kMost, common::saturated<std::uint32_t>(kMost));
+  CHECK_EQUAL(kMost, common::saturated<std::uint32_t>(1e300));
+  CHECK_EQUAL(std::numeric_limits<int>::max(), common::saturated<int>(kMost));
+  CHECK(std::numeric_limits<std::int64_t>::max() == common::saturated<std::int64_t>(1e19));
+  CHECK_EQUAL(0, common::saturated<int>(std::numeric_limits<double>::quiet_NaN()));
+}
--- a/tests/platform/proxy/front_test.cpp
+++ b/tests/platform/proxy/front_test.cpp
@@ -1,10 +1,18 @@
 // The proxy between a played client and played instances.
+#include <limits>
+
 #include "common/homes.h"
 #include "front_world.h"
 
 using namespace woadridge;
 using namespace woadridge::proxy::played;
 
+namespace {
+
+constexpr std::uint32_t kMostOfAll = std::numeric_limits<std::uint32_t>::max();
+
+}  // namespace
+
 TEST_GROUP_BASE(Front, FrontWorld){};
 
 TEST(Front, ARequestGoesThroughUnchangedAndComesBackWithItsSeal) {
@@ -300,6 +308,24 @@
   LONGS_EQUAL(0, one.asked.size());
 }
 
+// Guards against the largest max-tries that a configuration may have being cut to none.
+TEST(Front, TheLargestMaxTriesAreMany) {
+  Played one(loop), two(loop);
+  two.shared = &one.answers;
+  one.answers = {"", kShed, kGood};
+  plan_and({at(one, "i-1"), at(two, "i-2")});
+  common::News news;
+  news.term = 1;
+  news.board = 2;
+  news.plan_told = true;
+  news.plan.version = 2;
+  news.plan.routes = {{"read", "h.example", "/r/", "fn", true, kMostOfAll, kMostOfAll, 1, kMostOfAll}};
+  news.plan.services = {{"fn", "", kMostOfAll, kMostOfAll, kMostOfAll, kMostOfAll}};
+  dispatch->told(news);
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("GET /r/x").c_str());
+  LONGS_EQUAL(3, one.asked.size() + two.asked.size());
+}
+
 // Guards against more runs than max-tries allows, where each proxy counted its own.
 TEST(Front, AHomeUsesNoMoreTriesThanItWasGranted) {
   Played one(loop);
