Hosts have one normal form, in the check of configurations and in the router

Cause: the router cut a host at its last colon, the check only where there was one colon; the router kept the first of two routes with one key. On related paths: a dot at the end of a name and other spellings of an address made other hosts, and a host with a slash looked like another host with a longer prefix.

Why it works: both compare by normal_host(), and the router looks up the host apart from the prefix. A pair that is one host now is an error of the configuration; what disks hold stays readable, there the first one holds.

--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -6,9 +6,11 @@
 #include <cmath>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_set>
 #include <utility>
 
+#include "common/host.h"
 #include "common/log.h"
 #include "common/saturate.h"
 
@@ -42,18 +44,12 @@
   return common::saturated<std::uint32_t>(std::ceil(number));
 }
 
-// Hosts are compared without regard to case, and without a port.
-std::string bare_host(std::string host) {
-  std::transform(host.begin(), host.end(), host.begin(),
-                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
-  const auto colon = host.rfind(':');
-  if (colon != std::string::npos && host.find(':') == colon)
-    host.resize(colon);  // more colons: an IPv6 address
-  return host;
-}
+enum class Origin { sent, stored };  // by the operator now; on disk, taken before
 
 class Reader {
  public:
+  explicit Reader(Origin origin) : origin_(origin) {}
+
   Reading read(std::string_view json) {
     json_error_t fault{};
     const Json whole(json_loadb(json.data(), json.size(), JSON_REJECT_DUPLICATES, &fault), &json_decref);
@@ -232,7 +228,8 @@
   }
 
   void read_routes(const json_t* list) {
-    std::unordered_set<std::string> names, places;
+    std::unordered_set<std::string> names;
+    std::set<std::pair<std::string, std::string>> places;  // host and prefix
     std::size_t at = 0;
     json_t* entry = nullptr;
     json_array_foreach(const_cast<json_t*>(list), at, entry) {
@@ -243,13 +240,14 @@
       }
       common::Route route;
       route.name = name_of(place, entry, names);
-      route.host = bare_host(text(field(entry, "host")).value_or(""));
+      route.host = common::normal_host(text(field(entry, "host")).value_or(""));
       if (route.host.empty()) tell(place, "has no host");
       route.prefix = text(field(entry, "path-prefix")).value_or("");
+      bool shares = false;
       if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/')
         tell(place, "path-prefix does not begin and end with a slash");
-      else if (!route.host.empty() && !places.insert(route.host + ' ' + route.prefix).second)
-        tell(place, "shares host and path-prefix with an earlier route");
+      else shares = !route.host.empty() && !places.emplace(route.host, route.prefix).second;
+      if (shares && origin_ == Origin::sent) tell(place, "shares host and path-prefix with an earlier route");
       if (const json_t* kind = field(entry, "kind")) {  // absent: what may be repeated least
         route.repeatable = text(kind) == "idempotent";
         if (!route.repeatable && text(kind) != "mutating")
@@ -264,7 +262,8 @@
       number(place, entry, "priority", 0, route.priority);
       number(place, entry, "max-tries", 1, route.max_tries);
       route.service = service_of(place, entry);
-      out_.plan.routes.push_back(std::move(route));
+      if (shares) out_.left_out.push_back(place);
+      else out_.plan.routes.push_back(std::move(route));
     }
   }
 
@@ -278,6 +277,7 @@
     number("limits", limits, "idle-timeout-ms", 1, to.idle_timeout_ms);
   }
 
+  Origin origin_;
   Reading out_;
   std::unordered_set<std::string> services_;
 };
@@ -285,7 +285,11 @@
 }  // namespace
 
 Reading read(std::string_view json) {
-  return Reader{}.read(json);
+  return Reader(Origin::sent).read(json);
+}
+
+Reading read_stored(std::string_view json) {
+  return Reader(Origin::stored).read(json);
 }
 
 }  // namespace woadridge::configuration
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -212,12 +212,15 @@
   if (acted_on_ || !newest_) return;
   acted_on_ = true;
   if (!read_ || read_->version != version_of(*newest_)) {
-    auto reading = configuration::read(std::string_view(*newest_).substr(kVersionBytes));
+    auto reading = configuration::read_stored(std::string_view(*newest_).substr(kVersionBytes));
     if (!reading.good()) {  // guards against a roll-out in which this release is stricter than the one that
                             // took it
       common::error("the configuration in force can't be read", {{"fault", reading.faults.front()}});
       return;
     }
+    for (const auto& route : reading.left_out)
+      common::warning("a stored route is left out: an earlier one has its host and prefix",
+                      {{"route", route}});
     read_ = std::make_shared<const common::Plan>(std::move(reading.plan));
   }
   duty_holder_.plan(read_);
--- a/src/proxy/router.cpp
+++ b/src/proxy/router.cpp
@@ -1,34 +1,22 @@
 #include "proxy/router.h"
 
-#include <algorithm>
+#include "common/host.h"
 
 namespace woadridge::proxy {
-namespace {
-
-std::string plain_host(std::string_view host) {  // without its port, in small letters
-  const auto colon = host.rfind(':');
-  std::string out(host.substr(0, colon));
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
-  return out;
-}
-
-}  // namespace
 
 void Router::take(const common::Plan& plan) {
-  routes_.clear();
-  for (const auto& route : plan.routes) routes_.emplace(plain_host(route.host) + route.prefix, route);
+  hosts_.clear();
+  for (const auto& route : plan.routes) hosts_[common::normal_host(route.host)].emplace(route.prefix, route);
 }
 
 const common::Route* Router::route(std::string_view host, std::string_view target) const {
-  std::string key = plain_host(host);
-  const auto host_size = key.size();
-  key += target.substr(0, target.find_first_of("?#"));
-  for (auto slash = key.rfind('/'); slash != std::string::npos && slash >= host_size;) {
-    const auto found = routes_.find(std::string_view(key).substr(0, slash + 1));
-    if (found != routes_.end()) return &found->second;
-    if (slash == host_size) break;
-    slash = key.rfind('/', slash - 1);
+  const auto at = hosts_.find(common::normal_host(host));
+  if (at == hosts_.end()) return nullptr;
+  std::string_view path = target.substr(0, target.find_first_of("?#"));
+  for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/')) {
+    const auto found = at->second.find(path.substr(0, slash + 1));
+    if (found != at->second.end()) return &found->second;
+    path = path.substr(0, slash);
   }
   return nullptr;
 }
--- a/src/proxy/router.h
+++ b/src/proxy/router.h
@@ -20,8 +20,9 @@
     using is_transparent = void;
     std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
   };
-  // Host and prefix -> route. Prefixes end with a slash, so each slash of a path is a place to look.
-  std::unordered_map<std::string, common::Route, Hash, std::equal_to<>> routes_;
+  // By prefix. Prefixes end with a slash, so each slash of a path is a place to look.
+  using Routes = std::unordered_map<std::string, common::Route, Hash, std::equal_to<>>;
+  std::unordered_map<std::string, Routes> hosts_;  // by the host's normal form
 };
 
 }  // namespace woadridge::proxy
--- a/tests/platform/configuration/configuration_test.cpp
+++ b/tests/platform/configuration/configuration_test.cpp
@@ -140,6 +140,27 @@
   expect_fault("[]", "configuration: is not an object");
 }
 
+// Guards against two routes that the check takes for two and the router for one.
+TEST(Configuration, tells_routes_that_share_a_host_however_it_is_written) {
+  const auto two = [](const char* one, const char* other) {
+    return std::string(R"({"version":1,"services":[{"name":"s"}],"routes":[)") + R"({"name":"a","host":")" +
+           one + R"(","path-prefix":"/x/","deadline-ms":1,"service":"s"},)" + R"({"name":"b","host":")" +
+           other + R"(","path-prefix":"/x/","deadline-ms":1,"service":"s"}]})";
+  };
+  const std::string shares = R"(routes[1] "b": shares host and path-prefix with an earlier route)";
+  expect_fault(two("fair.example", "Fair.Example.:80"), shares);
+  expect_fault(two("[2001:db8::1]", "2001:DB8:0::1"), shares);
+  expect_fault(two("[2001:db8::1]:80", "[2001:db8::1]"), shares);
+  expect_good(two("[2001:db8::1]", "[2001:db8::2]"));
+  expect_good(two("fair.example", "fair..example"));
+  // What an earlier release took is on disks: there the first one holds, as it did.
+  const Reading stored = woadridge::configuration::read_stored(two("fair.example", "fair.example."));
+  STRCMP_EQUAL("", all(stored).c_str());
+  LONGS_EQUAL(1, stored.plan.routes.size());
+  LONGS_EQUAL(1, stored.left_out.size());
+  STRCMP_EQUAL("a", stored.plan.routes[0].name.c_str());
+}
+
 TEST(Configuration, tells_all_faults_at_once) {
   const Reading reading =
       read(R"({"version":0,"routes":[{"name":"a","host":"","path-prefix":"x","deadline-ms":0,
--- a/tests/platform/proxy/common_test.cpp
+++ b/tests/platform/proxy/common_test.cpp
@@ -7,6 +7,7 @@
 
 #include "common/frames.h"
 #include "common/homes.h"
+#include "common/host.h"
 #include "common/messages.h"
 #include "common/saturate.h"
 #include "common/settings.h"
@@ -185,3 +186,35 @@
   CHECK(std::numeric_limits<std::int64_t>::max() == common::saturated<std::int64_t>(1e19));
   CHECK_EQUAL(0, common::saturated<int>(std::numeric_limits<double>::quiet_NaN()));
 }
+
+TEST_GROUP(Host){static void expect(const char* normal,
+                                    const char* host){STRCMP_EQUAL(normal, common::normal_host(host).c_str());
+STRCMP_EQUAL(normal, common::normal_host(normal).c_str());
+}
+}
+;
+
+TEST(Host, ANameHasNoPortNoDotAndSmallLetters) {
+  for (const char* host : {"fair.example", "Fair.Example", "fair.example:80",
+                           "fair.example:", "FAIR.example.", "fair.example.:8080"})
+    expect("fair.example", host);
+  expect("10.0.0.7", "10.0.0.7:8080");
+  expect("", "");
+  expect("", ":80");
+  expect("", ".");
+}
+
+TEST(Host, AnIpv6AddressIsInBracketsAndItsShortestForm) {
+  for (const char* host : {"[2001:db8::1]", "[2001:DB8::1]", "[2001:db8::1]:8080",
+                           "[2001:db8::1]:", "2001:db8::1", "[2001:0db8:0:0:0:0:0:1]", "2001:db8:0::0:1"})
+    expect("[2001:db8::1]", host);
+  expect("[::1]", "[::1]:7");
+  expect("[::ffff:10.0.0.7]", "[::FFFF:10.0.0.7]");
+}
+
+TEST(Host, WhatIsNeitherStaysApart) {
+  expect("[2001:db8::1", "[2001:DB8::1");
+  expect("[2001:db8::1]x", "[2001:db8::1]x");
+  expect("a:b:c", "A:b:c");
+  expect("[v1.fe]", "[v1.FE]:80");
+}
--- a/tests/platform/proxy/router_test.cpp
+++ b/tests/platform/proxy/router_test.cpp
@@ -35,6 +35,31 @@
   STRCMP_EQUAL("none", found("c.example", "/x/y/").c_str());
 }
 
+// Guards against hosts that are cut in the middle of an address: two of them had one key, and the first route
+// took the requests for both.
+TEST(Router, HostsThatAreIpv6AddressesAreTold) {
+  add("one", "[2001:db8::1]", "/x/");
+  add("two", "[2001:db8::2]", "/x/");
+  STRCMP_EQUAL("one", found("[2001:db8::1]", "/x/y").c_str());
+  STRCMP_EQUAL("two", found("[2001:db8::2]", "/x/y").c_str());
+  STRCMP_EQUAL("two", found("[2001:DB8:0:0::2]:8080", "/x/y").c_str());
+  STRCMP_EQUAL("none", found("[2001:db8::3]", "/x/y").c_str());
+  STRCMP_EQUAL("none", found("[2001:db8:", "/x/y").c_str());
+}
+
+TEST(Router, ADotAtTheEndOfANameTellsNoTwoHosts) {
+  add("one", "a.example", "/x/");
+  STRCMP_EQUAL("one", found("a.example.", "/x/y").c_str());
+  STRCMP_EQUAL("one", found("A.Example.:80", "/x/y").c_str());
+}
+
+// Guards against a host with a slash in it, which looked like another host with a longer prefix.
+TEST(Router, HostAndPrefixAreKeptApart) {
+  add("one", "a", "/b/c/");
+  STRCMP_EQUAL("none", found("a/b", "/c/d").c_str());
+  STRCMP_EQUAL("one", found("a", "/b/c/d").c_str());
+}
+
 TEST(Router, ARemovedRouteIsGone) {
   add("one", "a.example", "/x/");
   plan.routes.clear();
