A kept connection follows a change of the configuration's limits at its next request

Cause: a connection copied the limits once, as it came up. On related paths: a home judged by its own configuration what the first proxy had taken, and time limits that shrink cut what had begun under the longer ones, or was told so in Keep-Alive.

Why it works: the limits are taken anew with the first byte of each request, and widened while it is read; peers' connections have no limits of clients. HttpReader::change_limits is new, nothing else uses it.

--- a/src/net/http.h
+++ b/src/net/http.h
@@ -39,6 +39,8 @@
   void pass_over_interim() { passes_interim_ = true; }
   // Answers only. Those from now on end with their heads, as those to HEAD do: RFC 9112, section 6.3.
   void no_body_follows(bool none) { bodiless_ = none; }
+  // What came before was judged by those before: nothing that has been read is judged anew.
+  void change_limits(HttpLimits limits) { limits_ = limits; }
   void next();  // forgets the message that is complete, and looks at what came behind it
 
   State state() const { return state_; }
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
+#include <limits>
 
 #include "text.h"
 
@@ -12,7 +13,7 @@
 using net::Fault;
 using net::HttpReader;
 
-constexpr Micros kPeerIdle = 30'000'000;   // peers drop their own ends long before
+constexpr Micros kPeerLimit = 30'000'000;  // peers drop their own ends long before
 constexpr Micros kWayBack = 3'000;         // of an answer to the client, beside what its links take
 constexpr Micros kSlowTaker = 10'000'000;  // for an answer to be taken
 constexpr Micros kLingers = 300'000;  // after an early answer what still comes is read and dropped, so that
@@ -37,6 +38,23 @@
   return bad == std::errc() && stop == text.data() + text.size() ? value : 0;
 }
 
+// What either of two configurations allows.
+common::Limits wider(const common::Limits& one, const common::Limits& other) {
+  return {std::max(one.max_header_bytes, other.max_header_bytes),
+          std::max(one.max_body_bytes, other.max_body_bytes),
+          std::max(one.header_timeout_ms, other.header_timeout_ms),
+          std::max(one.idle_timeout_ms, other.idle_timeout_ms)};
+}
+
+Micros in_micros(std::uint32_t milliseconds) {
+  return static_cast<Micros>(milliseconds) * 1000;
+}
+
+// A peer has judged its client's request already, by a configuration that may be older or newer than the one
+// here. What it sends is bounded by the space of all buffers alone.
+constexpr net::HttpLimits kFromPeers{std::numeric_limits<std::uint32_t>::max(),
+                                     std::numeric_limits<std::uint32_t>::max()};
+
 bool printable(std::string_view text) {
   return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f'; });
 }
@@ -47,15 +65,21 @@
     : front_(front),
       door_(door),
       socket_(std::move(socket)),
-      reader_(HttpReader::Side::requests, limits(front, door), &front.dispatch_.space()) {}
+      reader_(HttpReader::Side::requests, kFromPeers, &front.dispatch_.space()) {
+  go_by(limits_in_force());
+}
+
+const common::Limits& Front::Connection::limits_in_force() const {
+  return front_.dispatch_.board().plan.limits;
+}
 
-net::HttpLimits Front::Connection::limits(const Front& front, Door door) {
-  const auto& limits = front.dispatch_.board().plan.limits;
-  constexpr std::size_t kOwnLines = 4096;  // what the first proxy has added to the head
-  return {limits.max_header_bytes + (door == Door::peers ? kOwnLines : 0), limits.max_body_bytes};
+void Front::Connection::go_by(const common::Limits& limits) {
+  limits_ = limits;
+  if (door_ != Door::peers) reader_.change_limits({limits.max_header_bytes, limits.max_body_bytes});
 }
 
 void Front::Connection::start() {
+  rest_limit_ = in_micros(limits_.idle_timeout_ms);
   since_ = front_.dispatch_.now();
   Fault ignored;
   socket_.non_blocking(true, ignored);
@@ -95,19 +119,23 @@
 }
 
 void Front::Connection::check_times(Micros now) {
-  const auto& limits = front_.dispatch_.board().plan.limits;
   if (waiting_) return;
+  const auto limits = wider(limits_, limits_in_force());
+  const bool is_peer = door_ == Door::peers;
+  const Micros head_limit = is_peer ? kPeerLimit : in_micros(limits.header_timeout_ms);
+  const Micros body_limit = is_peer ? kPeerLimit : in_micros(limits.idle_timeout_ms);
+  const Micros rest_limit =
+      is_peer ? kPeerLimit : std::max(rest_limit_, in_micros(limits_in_force().idle_timeout_ms));
   const Micros stood = now - since_;
   if (lingering_) {
     if (stood > kLingers) close();
   } else if (writing_) {
     if (stood > kSlowTaker) close();
   } else if (reader_.untouched()) {
-    const Micros most = door_ == Door::peers ? kPeerIdle : static_cast<Micros>(limits.idle_timeout_ms) * 1000;
-    if (stood > most) close_if_idle();
+    if (stood > rest_limit) close_if_idle();
   } else if (reader_.state() == HttpReader::State::head) {
-    if (stood > static_cast<Micros>(limits.header_timeout_ms) * 1000) turn_away(408);
-  } else if (stood > static_cast<Micros>(limits.idle_timeout_ms) * 1000) {
+    if (stood > head_limit) turn_away(408);
+  } else if (stood > body_limit) {
     turn_away(408);
   }
 }
@@ -179,7 +207,12 @@
   const auto bytes = socket_.read_some(boost::asio::buffer(room.data(), room.size()), fault);
   if (fault == boost::asio::error::would_block) return read();
   if (fault) return close();
-  if (reader_.untouched()) since_ = front_.dispatch_.now();
+  if (reader_.untouched()) {
+    since_ = front_.dispatch_.now();
+    go_by(limits_in_force());
+  } else {
+    go_by(wider(limits_, limits_in_force()));
+  }
   reader_.arrived(bytes);
   take();
 }
@@ -367,8 +400,9 @@
     net::write_header(reply.head, "Retry-After", seconds);
   }
   if (front_.leaving_) close_after_ = true;
+  rest_limit_ = in_micros(limits_in_force().idle_timeout_ms);
   if (!close_after_ && door_ == Door::clients) {
-    const auto idle_s = front_.dispatch_.board().plan.limits.idle_timeout_ms / 1000;
+    const auto idle_s = limits_in_force().idle_timeout_ms / 1000;
     if (idle_s > 1) net::write_header(reply.head, "Keep-Alive", "timeout=" + std::to_string(idle_s - 1));
   }
   out_.clear();
@@ -416,6 +450,8 @@
     lingering_ = true;
     return read();
   }
+  const bool next_has_begun = !reader_.nothing_behind();
+  go_by(next_has_begun ? wider(limits_, limits_in_force()) : limits_in_force());
   reader_.next();
   // What came behind is the next request; not from inside this one's answer.
   if (reader_.untouched()) return read();
--- a/src/proxy/front_connection.h
+++ b/src/proxy/front_connection.h
@@ -14,7 +14,6 @@
  public:
   Connection(Front& front, Door door, net::Socket socket);
 
-  static net::HttpLimits limits(const Front& front, Door door);
   void start();
   void reply(Reply reply) override;
   void close();
@@ -26,6 +25,8 @@
   std::list<std::shared_ptr<Connection>>::iterator place;
 
  private:
+  const common::Limits& limits_in_force() const;
+  void go_by(const common::Limits& limits);
   void read();
   void arrived();
   void watch();
@@ -53,6 +54,8 @@
   Door door_;
   net::Socket socket_;
   net::HttpReader reader_;
+  common::Limits limits_;  // that the request goes by: in force when it began, or wider ones since
+  Micros rest_limit_ = 0;  // idle time until the next request, as the client was told
   std::string out_;
   std::size_t sent_ = 0;
   std::weak_ptr<Call> call_;        // whose answer is waited for
--- a/tests/platform/proxy/front_world.h
+++ b/tests/platform/proxy/front_world.h
@@ -137,6 +137,13 @@
     socket_.set_option(boost::asio::socket_base::linger(true, 0));
     socket_.close();
   }
+  bool is_closed() {
+    char byte;
+    boost::system::error_code fault;
+    socket_.non_blocking(true);
+    socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
+    return fault && fault != boost::asio::error::would_block;
+  }
   std::string arrived() {  // what has come, without waiting
     std::string bytes(socket_.available(), '\0');
     boost::asio::read(socket_, boost::asio::buffer(bytes));
