A proxy's word that a call was never read is a header that no worker can say

Cause: the word 'never read' was told by status 410 alone. On related paths: a worker's headers of the proxies' names are taken out, which has a test now.

Why it works: the word is X-Woadridge-Never-Read, which is taken out of workers' answers and clients' requests. Answers that were built from six fields by place are built by own_reply() and instance_reply().

--- a/src/proxy/call.cpp
+++ b/src/proxy/call.cpp
@@ -8,7 +8,7 @@
 namespace woadridge::proxy {
 
 bool goes_along(std::string_view header) {
-  static constexpr std::array<std::string_view, 17> kStay = {"Connection",
+  static constexpr std::array<std::string_view, 18> kStay = {"Connection",
                                                              "Content-Length",
                                                              "Transfer-Encoding",
                                                              "Keep-Alive",
@@ -24,7 +24,8 @@
                                                              kUsed,
                                                              kBoot,
                                                              kPass,
-                                                             kRejoin};
+                                                             kRejoin,
+                                                             kNeverRead};
   return std::none_of(kStay.begin(), kStay.end(), [&](auto name) { return net::same_name(name, header); });
 }
 
--- a/src/proxy/call.h
+++ b/src/proxy/call.h
@@ -16,11 +16,20 @@
   int status = 502;
   std::string head;  // whole header lines that go along; framing and connection are the connection's own
   std::string body;
-  double retry_after_s = 0;           // 0: not said
-  bool own = true;                    // made here, not by an instance
+  double retry_after_s = 0;  // 0: not said
+  bool own = true;           // made here, not by an instance
+  bool never_read = false;   // to a peer: the passing that it asks for wasn't read and never will run
   std::optional<std::uint32_t> used;  // instances that the call may have run on; unset: nothing was asked
 };
 
+/// An answer that the proxy makes itself. `retry_after_s`: seconds; 0: not said.
+inline Reply own_reply(int status, double retry_after_s = 0) {
+  Reply reply;
+  reply.status = status;
+  reply.retry_after_s = retry_after_s;
+  return reply;
+}
+
 class Asker {  // who waits for the answer
  public:
   virtual ~Asker() = default;
@@ -67,8 +76,10 @@
 inline constexpr std::string_view kBoot = "X-Woadridge-Boot";
 inline constexpr std::string_view kPass = "X-Woadridge-Pass";
 inline constexpr std::string_view kRejoin = "X-Woadridge-Rejoin";
-inline constexpr int kNeverRead =
-    410;  // between proxies: a passing that was asked for again and never will run
+// And back: a passing that was asked for again was never read and never will run. Told by the header alone,
+// which no instance's answer keeps; the status stands for those who don't know it.
+inline constexpr std::string_view kNeverRead = "X-Woadridge-Never-Read";
+inline constexpr int kNeverReadStatus = 410;
 bool goes_along(std::string_view header);  // not of one connection, nor written anew at each hop
 
 }  // namespace woadridge::proxy
--- a/src/proxy/dispatch.cpp
+++ b/src/proxy/dispatch.cpp
@@ -155,8 +155,8 @@
 
 // What may have run gets no promise.
 void Dispatch::refuse(const CallRef& call, double retry_after_s) {
-  if (call->abandoned || !call->tries.may_promise()) answer(call, {502, {}, {}, 0, true, {}});
-  else answer(call, {503, {}, {}, retry_after_s, true, {}});
+  if (call->abandoned || !call->tries.may_promise()) answer(call, own_reply(502));
+  else answer(call, own_reply(503, retry_after_s));
 }
 
 void Dispatch::abandon(const CallRef& call) {
@@ -267,7 +267,7 @@
   if (std::exchange(pass.over, true)) return false;
   outbound_.drop(pass.outbound);
   pass.call->tries.peer_lost(pass.grant);
-  answer(pass.call, {status, {}, {}, 0, true, {}});
+  answer(pass.call, own_reply(status));
   return true;
 }
 
@@ -304,11 +304,14 @@
   if (answers) pump(pass->peer, call->service);
   else unreachable(pass->peer, end.how);
   switch (next) {
-    case PassEnd::pass_along:
-      return answer(call,
-                    {end.status, std::move(end.head), std::move(end.body), end.retry_after_s, false, {}});
+    case PassEnd::pass_along: {
+      const double retry_after_s = end.retry_after_s;
+      Reply reply = instance_reply(std::move(end));
+      reply.retry_after_s = retry_after_s;
+      return answer(call, std::move(reply));
+    }
     case PassEnd::fail:
-      return answer(call, {502, {}, {}, 0, true, {}});
+      return answer(call, own_reply(502));
     case PassEnd::refuse:
       return refuse(call, kHomeMoved);
     default:
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -81,6 +81,7 @@
   end.not_executed = !reader_.header(kNotExecuted).empty();
   end.encoded = !reader_.header("Content-Encoding").empty();
   end.retry_after_s = seconds(reader_.header("Retry-After"));
+  end.never_read = !reader_.header(kNeverRead).empty();
   end.used = whole<std::uint32_t>(reader_.header(kUsed));
   end.boot = whole<std::uint64_t>(reader_.header(kBoot)).value_or(0);
   end.body = std::string(reader_.body());
--- a/src/proxy/exchange.h
+++ b/src/proxy/exchange.h
@@ -27,6 +27,7 @@
   std::string head, body;                                                     // of an answer
   bool sealed = false, not_executed = false, encoded = false, named = false;  // what its head says
   double retry_after_s = 0;
+  bool never_read = false;            // a peer's word: the passing wasn't read and never will run
   std::optional<std::uint32_t> used;  // a peer's word: instances that it may have run on, in all
   std::uint64_t boot = 0;             // a peer's word: which life of its process answers; 0: not said
 };
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -20,7 +20,8 @@
                                       // the close doesn't take the answer with it
 constexpr std::string_view kAnswerStart = "HTTP/1.1 ";  // of every answer
 constexpr Micros kProbeAgain = 25'000;                  // after the first byte of it, doubled with each one
-constexpr double kPlanIn = 1.2;  // seconds: a core that has lost power is back with its plan about then
+constexpr double kSpaceIn = 0.2;  // seconds: other requests have left the buffers by then
+constexpr double kPlanIn = 1.2;   // seconds: a core that has lost power is back with its plan about then
 constexpr Micros kPassRemembered = 1'000'000;          // past the deadline of a passing
 constexpr int kPassedEnough = 100;                     // the second proxy that a call is sent to keeps it
 constexpr std::int64_t kLongestMs = 24 * 3600 * 1000;  // guards sums of times against nonsense
@@ -106,7 +107,7 @@
 
 // The process ends: what may run elsewhere gets an answer all the same.
 void Front::Connection::give_up() {
-  if (waiting_) reply({502, {}, {}, 0, true, {}});
+  if (waiting_) reply(own_reply(502));
 }
 
 // A request that is there is taken, not cut off.
@@ -244,10 +245,7 @@
 // Nothing behind what can't be used is read as a request: it may be the rest of this one.
 void Front::Connection::turn_away(int status) {
   close_after_ = true;
-  Reply reply;
-  reply.status = status;
-  if (status == 503) reply.retry_after_s = 0.2;
-  write(std::move(reply));
+  write(own_reply(status, status == 503 ? kSpaceIn : 0));
 }
 
 void Front::Connection::take_request() {
@@ -257,10 +255,7 @@
   auto call = std::make_shared<Call>();
   const int fault = door_ == Door::peers ? fill_from_peer(*call) : fill(*call);
   if (fault != 0) {
-    Reply reply;
-    reply.status = fault;
-    if (fault == 503) reply.retry_after_s = kPlanIn;
-    return write(std::move(reply));
+    return write(own_reply(fault, fault == 503 ? kPlanIn : 0));
   }
   if (door_ == Door::peers) return take_passed(std::move(call));
   wait();
@@ -317,7 +312,8 @@
 
 Reply Front::Connection::never_read() {
   Reply reply;
-  reply.status = kNeverRead;
+  reply.status = kNeverReadStatus;
+  reply.never_read = true;
   return reply;
 }
 
@@ -391,6 +387,7 @@
 void Front::Connection::write(Reply reply) {
   if (door_ == Door::peers) {
     if (reply.used) net::write_header(reply.head, kUsed, std::to_string(*reply.used));
+    if (reply.never_read) net::write_header(reply.head, kNeverRead, "1");
     net::write_header(reply.head, kBoot, std::to_string(front_.dispatch_.boot()));
   }
   if (reply.own && has_id()) net::write_header(reply.head, kAttemptId, reader_.header(kAttemptId));
--- a/src/proxy/function_scheduler.cpp
+++ b/src/proxy/function_scheduler.cpp
@@ -166,15 +166,15 @@
   ++demand_.refused;
   const bool late = open.out > 0 && open.call && dispatch_.now() >= open.call->deadline - kAhead - 2 * kTick;
   if (late || (open.call && !open.call->tries.may_promise()))
-    answered(open, {late ? 504 : 502, {}, {}, 0, true, {}});  // no promise
-  else answered(open, {503, {}, {}, std::max(0.05, static_cast<double>(action.hold_off) / 1e6), true, {}});
+    answered(open, own_reply(late ? 504 : 502));  // no promise
+  else answered(open, own_reply(503, std::max(0.05, static_cast<double>(action.hold_off) / 1e6)));
   forget_if_over(action.id);
 }
 
 void FunctionScheduler::carry_out(const Fail& action) {
   auto& open = open_.at(action.id);
   const bool late = open.call && dispatch_.now() >= open.call->deadline - kAhead;
-  answered(open, {late ? 504 : 502, {}, {}, 0, true, {}});
+  answered(open, own_reply(late ? 504 : 502));
   forget_if_over(action.id);
 }
 
@@ -242,7 +242,7 @@
     ++demand_.ended;
   }
   if (open.call) open.call->tries.ran();
-  answered(open, {end.status, std::move(end.head), std::move(end.body), 0, false, {}});
+  answered(open, instance_reply(std::move(end)));
   over(id, attempt, Result::ok, true);
 }
 
@@ -258,7 +258,7 @@
   if (one.outbound == 0) return;
   dispatch_.outbound().drop(one.outbound);
   if (found->second.call) found->second.call->tries.ran();
-  answered(found->second, {504, {}, {}, 0, true, {}});
+  answered(found->second, own_reply(504));
   over(id, attempt, Result::timed_out, true);
 }
 
@@ -274,7 +274,7 @@
   // The proxy that granted the try may have another.
   const bool used_up = may_have_run && open.call && !open.call->tries.may_run();
   if (open.call && open.out == 0 && (used_up || open.call->abandoned)) {
-    answered(open, {502, {}, {}, 0, true, {}});
+    answered(open, own_reply(502));
     finished = true;
   }
   const WorkerId instance = one.instance;
@@ -384,7 +384,7 @@
   const bool runs_on = open.out > 0 && !open.call->tries.repeatable();
   give(ClientLeft{id});
   if (runs_on) return;
-  answered(open, {502, {}, {}, 0, true, {}});
+  answered(open, own_reply(502));
   call_off(id);
   forget_if_over(id);
   dispatch_.has_news(*this);
--- a/src/proxy/verdict.cpp
+++ b/src/proxy/verdict.cpp
@@ -15,8 +15,7 @@
 }
 
 PassEnd after_answer(Tries& tries, const PassSoFar& so_far, const OutboundResult& end) {
-  const bool never_read = so_far.rejoined > 0 && end.status == kNeverRead && !end.sealed;
-  if (never_read) return tries.may_run() ? PassEnd::again : PassEnd::refuse;
+  if (so_far.rejoined > 0 && end.never_read) return tries.may_run() ? PassEnd::again : PassEnd::refuse;
   if (is_success(end.status) && !end.sealed) return after_loss(tries, so_far.grant);
   if (end.used) tries.peer_answered(so_far.grant, *end.used);
   else if (end.status >= 500 && end.status != 503) tries.peer_lost(so_far.grant);
@@ -29,6 +28,15 @@
 
 }  // namespace
 
+Reply instance_reply(OutboundResult end) {
+  Reply reply;
+  reply.status = end.status;
+  reply.head = std::move(end.head);
+  reply.body = std::move(end.body);
+  reply.own = false;
+  return reply;
+}
+
 bool is_success(int status) {
   return status >= 200 && status < 300;
 }
--- a/src/proxy/verdict.h
+++ b/src/proxy/verdict.h
@@ -1,6 +1,7 @@
 // What the end of a sending says of a call, and what follows. No socket, no clock.
 #pragma once
 
+#include "proxy/call.h"
 #include "proxy/exchange.h"
 #include "proxy/tries.h"
 
@@ -18,6 +19,9 @@
 AttemptEnd judge_attempt(const OutboundResult& end);
 const char* word(AttemptEnd end);  // for the log
 
+/// The answer as it goes back: from an instance, or from the peer that has passed one on.
+Reply instance_reply(OutboundResult end);
+
 bool is_success(int status);
 bool is_promise(int status);  // 429, 503, 408 and 421: it has not run and never will
 
--- a/tests/platform/proxy/answers_world.cpp
+++ b/tests/platform/proxy/answers_world.cpp
@@ -35,6 +35,7 @@
     std::string headers = reply.head;
     if (reply.own) net::write_header(headers, kAttemptId, id);
     if (reply.used) net::write_header(headers, kUsed, std::to_string(*reply.used));
+    if (reply.never_read) net::write_header(headers, kNeverRead, "1");
     net::write_header(headers, kBoot, std::to_string(boot));
     to->say(answer_text(reply.status, headers, reply.body));
   }
@@ -272,7 +273,7 @@
     if (judged == AttemptEnd::answered || judged == AttemptEnd::may_have_run) job->tries.ran();
     else job->tries.not_run();
     if (judged != AttemptEnd::answered) return attempt(job);
-    job->done(Reply{end.status, end.head, end.body, 0, false, {}}, job->tries);
+    job->done(instance_reply(end), job->tries);
   });
 }
 
@@ -315,7 +316,9 @@
       ++passing->so_far.rejoined;
       return send(passing);
     case PassEnd::pass_along:
-      return job->done(Reply{end.status, end.head, end.body, 0, !end.sealed, {}}, job->tries);
+      reply = instance_reply(end);
+      reply.own = !end.sealed;
+      break;
     case PassEnd::again:
     case PassEnd::unreachable:
       return pass(job, *passing->home);
@@ -342,7 +345,8 @@
   const PassNumber mark{number(pass[0]), number(pass[1])};
   Reply unknown, never;
   unknown.used = tries.granted();
-  never.status = kNeverRead;
+  never.status = kNeverReadStatus;
+  never.never_read = true;
   if (const auto life = read.header(kRejoin); !life.empty()) {
     if (number(life) != boot_ && !planted(Planted::any_life)) return waits->reply(unknown);
     const auto search = calls_->find(mark, kLong, 0);
--- a/tests/platform/proxy/front_test.cpp
+++ b/tests/platform/proxy/front_test.cpp
@@ -308,6 +308,37 @@
   LONGS_EQUAL(0, one.asked.size());
 }
 
+// Guards against an instance's own answer being taken for a peer's word that a passing was never read: a call
+// that may run once only was sent again, and ran twice.
+TEST(Front, NothingThatAnInstanceSaysIsTakenForAPeersWord) {
+  const std::string proxied = "X-Woadridge-Attempt-Id: {id}\r\nX-Woadridge-Boot: 5\r\nContent-Length: 0\r\n";
+  Played peer(loop);
+  peer.answers = {"HTTP/1.1 200 OK\r\nX-Woadridge-Instance-Seal: s.1\r\n" + proxied + "\r\n", "",
+                  "HTTP/1.1 410 Gone\r\nX-Woadridge-Used: 1\r\n" + proxied + "\r\n", kGood};
+  plan_and({}, {{"other", "a", peer.address()}});
+  STRCMP_CONTAINS("HTTP/1.1 200", ask("POST /w/x", "1").c_str());
+  const auto answer = ask("POST /w/x", "2");  // its connection breaks, it is asked for again
+  STRCMP_CONTAINS("HTTP/1.1 410", answer.c_str());
+  LONGS_EQUAL(3, peer.asked.size());
+  STRCMP_CONTAINS("X-Woadridge-Rejoin: 5", peer.asked.back().c_str());
+}
+
+TEST(Front, AnInstanceCannotSayAPeersWords) {
+  Played one(loop);
+  one.answers = {
+      "HTTP/1.1 410 Gone\r\nX-Woadridge-Attempt-Id: {id}\r\nX-Woadridge-Never-Read: 1\r\nX-Woadridge-Used: "
+      "0\r\n"
+      "X-Woadridge-Boot: 7\r\nContent-Length: 0\r\n\r\n"};
+  plan_and({at(one, "i-1")});
+  const auto answer = ask_as_passing("POST /w/x", "m;2;400;4000;1;0;1", "X-Woadridge-Pass: 9000000000.5\r\n");
+  STRCMP_CONTAINS("HTTP/1.1 410", answer.c_str());
+  STRCMP_CONTAINS("X-Woadridge-Used: 1", answer.c_str());
+  STRCMP_CONTAINS(("X-Woadridge-Boot: " + boot()).c_str(), answer.c_str());
+  CHECK(answer.find("Never-Read") == std::string::npos);
+  CHECK(answer.find("Used: 0") == std::string::npos);
+  CHECK(answer.find("Boot: 7") == std::string::npos);
+}
+
 // Guards against the largest max-tries that a configuration may have being cut to none.
 TEST(Front, TheLargestMaxTriesAreMany) {
   Played one(loop), two(loop);
