An answer is cut only where its client takes nothing of it

Cause: the limit for a client that takes nothing counted from the answer's first byte. The send buffer, which grows to 4 MB, hides progress too: with a limit that counts from the last write alone the new test failed as before.

Evidence: SlowClient.AnAnswerThatIsTakenSteadilyComesWhole failed before, and with either half of the mend missing.

Why it works: the limit counts from the last progress, and a send buffer of 128 KiB shows that while a client takes some 40 KiB. SlowClient.AClientThatTakesNothingIsCutOff holds before and after.

--- a/src/proxy/front.cpp
+++ b/src/proxy/front.cpp
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-Front::Front(net::Strand strand, Dispatch& dispatch) : strand_(strand), dispatch_(dispatch) {
+Front::Front(net::Strand strand, Dispatch& dispatch, FrontTimes times)
+    : strand_(strand), dispatch_(dispatch), times_(times) {
   dispatch_.alarms().at(dispatch_.now() + kSweep, [this] { sweep(); });
 }
 
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -11,9 +11,13 @@
 
 enum class Door { clients, peers, readiness };
 
+struct FrontTimes {
+  Micros slow_taker = 10'000'000;  // in which a client takes nothing of its answer
+};
+
 class Front {
  public:
-  Front(net::Strand strand, Dispatch& dispatch);
+  Front(net::Strand strand, Dispatch& dispatch, FrontTimes times = {});
   ~Front();
   common::Result<void> open(Door door, const common::Endpoint& place);
   void close_door(Door door);
@@ -39,6 +43,7 @@
   std::list<Listener> listeners_;
   std::list<std::shared_ptr<Connection>> connections_;  // those that came or asked last are last
   PeerCalls peer_calls_;
+  FrontTimes times_;
   std::size_t busy_ = 0;
   bool leaving_ = false, stopped_ = false;
 };
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -15,9 +15,10 @@
 
 constexpr Micros kPeerLimit = 30'000'000;  // peers drop their own ends long before
 constexpr Micros kWayBack = 3'000;         // of an answer to the client, beside what its links take
-constexpr Micros kSlowTaker = 10'000'000;  // for an answer to be taken
 constexpr Micros kLingers = 300'000;  // after an early answer what still comes is read and dropped, so that
                                       // the close doesn't take the answer with it
+constexpr int kSendBuffer =
+    128 * 1024;  // bytes: in a larger one a slow client's progress doesn't show for seconds
 constexpr std::string_view kAnswerStart = "HTTP/1.1 ";  // of every answer
 constexpr Micros kProbeAgain = 25'000;                  // after the first byte of it, doubled with each one
 constexpr double kSpaceIn = 0.2;  // seconds: other requests have left the buffers by then
@@ -85,6 +86,7 @@
   Fault ignored;
   socket_.non_blocking(true, ignored);
   socket_.set_option(net::Tcp::no_delay(true), ignored);
+  socket_.set_option(boost::asio::socket_base::send_buffer_size(kSendBuffer), ignored);
   read();
 }
 
@@ -131,7 +133,7 @@
   if (lingering_) {
     if (stood > kLingers) close();
   } else if (writing_) {
-    if (stood > kSlowTaker) close();
+    if (stood > front_.times_.slow_taker) close();
   } else if (reader_.untouched()) {
     if (stood > rest_limit) close_if_idle();
   } else if (reader_.state() == HttpReader::State::head) {
@@ -433,6 +435,7 @@
     }
     if (fault) return close();
     sent_ += bytes;
+    since_ = front_.dispatch_.now();  // the limit is one of standing still, not of the whole
   }
   written();
 }
--- a/tests/platform/proxy/front_world.h
+++ b/tests/platform/proxy/front_world.h
@@ -62,8 +62,11 @@
     const auto at = request.find("Attempt-Id: ") + 12;
     const auto id = request.substr(at, request.find("\r\n", at) - at);
     for (auto p = text.find("{id}"); p != std::string::npos; p = text.find("{id}")) text.replace(p, 4, id);
-    boost::asio::write(line->socket, boost::asio::buffer(text));
-    read(line);
+    const auto held = std::make_shared<std::string>(std::move(text));
+    boost::asio::async_write(line->socket, boost::asio::buffer(*held),
+                             [this, line, held](boost::system::error_code failed, std::size_t) {
+                               if (!failed) read(line);
+                             });
   }
   tcp::acceptor acceptor_;
 };
@@ -127,7 +130,10 @@
 
 class Caller {  // a client whose connection the test holds, to close it when it likes
  public:
-  Caller(boost::asio::io_context& loop, std::uint16_t port) : socket_(loop) {
+  // `window`: bytes that it takes unread; 0: as many as the system likes.
+  Caller(boost::asio::io_context& loop, std::uint16_t port, int window = 0) : socket_(loop) {
+    socket_.open(tcp::v4());
+    if (window > 0) socket_.set_option(boost::asio::socket_base::receive_buffer_size(window));
     socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
   }
   void send(const std::string& text) { boost::asio::write(socket_, boost::asio::buffer(text)); }
@@ -162,9 +168,10 @@
   std::unique_ptr<proxy::Front> front;
   std::uint16_t port = 0, peers_port = 0;
 
+  virtual proxy::FrontTimes front_times() const { return {}; }
   void setup() override {
     dispatch = std::make_unique<proxy::Dispatch>(strand, settings());
-    front = std::make_unique<proxy::Front>(strand, *dispatch);
+    front = std::make_unique<proxy::Front>(strand, *dispatch, front_times());
     port = opened(proxy::Door::clients);
     peers_port = opened(proxy::Door::peers);
   }
