A connection is busy until the last byte of its answer is written

Cause: a connection counted as busy until its answer began to be written, and a process that is told to end waits for busy ones only.

Evidence: SlowClient.AProxyIsBusyUntilTheLastByteIsWritten failed before (expected <1> but was <0>).

--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -23,7 +23,9 @@
   void close_door(Door door);
   void leave();  // answers from now on close their connections, and those that stand idle are closed
   void stop();
-  std::size_t busy() const { return busy_; }  // connections whose request has no whole answer yet
+  std::size_t busy() const {
+    return busy_;
+  }  // connections whose request has no whole answer yet, or one that is being written
 
  private:
   class Connection;
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -94,13 +94,13 @@
   if (closed_ || !waiting_) return;
   waiting_ = false;
   pass_ = nullptr;
-  --front_.busy_;
   write(std::move(reply));
 }
 
 void Front::Connection::close() {
   if (std::exchange(closed_, true)) return;
-  if (std::exchange(waiting_, false)) --front_.busy_;
+  waiting_ = false;
+  count_idle();
   Fault ignored;
   socket_.close(ignored);
   const auto self = shared_from_this();
@@ -266,10 +266,18 @@
   front_.dispatch_.take(std::move(call));
 }
 
+void Front::Connection::count_busy() {
+  if (!std::exchange(counted_busy_, true)) ++front_.busy_;
+}
+
+void Front::Connection::count_idle() {
+  if (std::exchange(counted_busy_, false)) --front_.busy_;
+}
+
 void Front::Connection::wait() {
   waiting_ = true;
   ++requests_;
-  ++front_.busy_;
+  count_busy();
   read();
 }
 
@@ -409,6 +417,7 @@
   if (reader_.state() != HttpReader::State::complete || reader_.method() != "HEAD") out_ += reply.body;
   sent_ = std::exchange(probed_, 0);
   writing_ = true;
+  count_busy();
   since_ = front_.dispatch_.now();
   flush();
 }
@@ -442,6 +451,7 @@
 
 void Front::Connection::written() {
   writing_ = false;
+  count_idle();
   since_ = front_.dispatch_.now();
   if (out_.capacity() > 64 * 1024) std::string().swap(out_);
   if (close_after_) {
--- a/src/proxy/front_connection.h
+++ b/src/proxy/front_connection.h
@@ -35,6 +35,8 @@
   void take();
   void turn_away(int status);
   void take_request();
+  void count_busy();
+  void count_idle();
   void wait();
   void take_passed(CallRef call);
   void rejoin(PassNumber number, Micros until, Micros now);
@@ -65,6 +67,7 @@
   std::uint32_t granted_ = 1;
   Micros since_ = 0;  // of the first byte of the request, or of what the connection does now
   bool reading_ = false, waiting_ = false, writing_ = false, lingering_ = false;
+  bool counted_busy_ = false;  // from the whole request to the last byte of its answer
   bool close_after_ = false, closed_ = false, told_on_ = false;
 };
 
--- a/tests/platform/proxy/slow_client_test.cpp
+++ b/tests/platform/proxy/slow_client_test.cpp
@@ -55,3 +55,15 @@
   CHECK(taken < kAnswer);
   CHECK(stands.is_closed());
 }
+
+// Guards against a process that is told to end and takes an answer which is being written for done.
+TEST(SlowClient, AProxyIsBusyUntilTheLastByteIsWritten) {
+  Caller slow(loop, port, kWindow);
+  slow.send(request("POST /w/x"));
+  std::size_t taken = 0;
+  for (int n = 0; n < 10; ++n) taken += take(slow);
+  LONGS_EQUAL(1, front->busy());
+  while (taken < kAnswer && !slow.is_closed()) taken += take(slow);
+  loop.run_for(kStep);
+  LONGS_EQUAL(0, front->busy());
+}
