The seeded runs of answers have instances that answer 410, an order of their own, and 2,000 seeds

Platform.Answers was known red on arm64: one planted fault, a passing that is taken twice, wasn't found within 200 seeds. On x86-64 it was found on the code before this work, and no longer once an object had grown: the runs went by maps and sets ordered by addresses, so any change of the heap drew other runs. Counted: the fault shows in 13 of 3,000 seeds, so 200 seeds miss it 4 times in 10.

The containers have an order of their own now, and each check has 2,000 seeds: the one that no rule breaks without a planted fault is ten times as strict, a planted fault has as many to show in.

--- a/src/proxy/planted.h
+++ b/src/proxy/planted.h
@@ -17,6 +17,7 @@
   tries_per_proxy,      // each proxy counts its own tries
   lost_peer_is_free,    // a peer that gave no answer is taken to have used no try
   promise_after_run,    // what may have run is promised not to have
+  status_is_a_word,     // an instance's 410 is taken for a peer's word that it never read a passing
   attempt_out_is_free,  // an attempt counts only when it has ended
 };
 
--- a/src/proxy/verdict.cpp
+++ b/src/proxy/verdict.cpp
@@ -15,7 +15,9 @@
 }
 
 PassEnd after_answer(Tries& tries, const PassSoFar& so_far, const OutboundResult& end) {
-  if (so_far.rejoined > 0 && end.never_read) return tries.may_run() ? PassEnd::again : PassEnd::refuse;
+  const bool by_status = planted(Planted::status_is_a_word) && end.status == kNeverReadStatus && !end.sealed;
+  if (so_far.rejoined > 0 && (end.never_read || by_status))
+    return tries.may_run() ? PassEnd::again : PassEnd::refuse;
   if (is_success(end.status) && !end.sealed) return after_loss(tries, so_far.grant);
   if (end.used) tries.peer_answered(so_far.grant, *end.used);
   else if (end.status >= 500 && end.status != 503) tries.peer_lost(so_far.grant);
--- a/tests/platform/proxy/answers_run_test.cpp
+++ b/tests/platform/proxy/answers_run_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr unsigned kSeeds = 200;
+constexpr unsigned kSeeds = 2000;  // the rarest planted fault shows in one of some 230
 constexpr int kCalls = 60;
 
 std::set<std::string> breaks_of(unsigned seed, int* served = nullptr) {
@@ -56,6 +56,9 @@
 TEST(Answers, ATruncatedAnswerThatCountsAsWholeIsFound) {
   found(Planted::truncated_is_whole, "MIXED");
 }
+TEST(Answers, AnInstancesStatusTakenForAPeersWordIsFound) {
+  found(Planted::status_is_a_word, "TWICE");
+}
 TEST(Answers, APassingTakenTwiceIsFound) {
   found(Planted::pass_taken_twice, "TWICE");
 }
--- a/tests/platform/proxy/answers_world.cpp
+++ b/tests/platform/proxy/answers_world.cpp
@@ -163,7 +163,7 @@
 }
 
 LineRef Sender::line(End& to, const std::string& id) {
-  auto& all = lines_[&to];
+  auto& all = lines_to(to);
   std::erase_if(all, [](const LineRef& line) { return !line->open; });
   for (const auto& line : all)
     if (!line->busy && line->exchange.may_carry(id)) return line;
@@ -173,6 +173,12 @@
   return fresh;
 }
 
+std::vector<LineRef>& Sender::lines_to(End& to) {
+  const auto found =
+      std::find_if(lines_.begin(), lines_.end(), [&](auto& entry) { return entry.first == &to; });
+  return found != lines_.end() ? found->second : lines_.emplace_back(&to, std::vector<LineRef>{}).second;
+}
+
 void Sender::drop_all() {
   for (auto& [to, all] : lines_)
     for (auto& line : all) {
@@ -231,6 +237,8 @@
     line->say(answer_text(503, "X-Woadridge-Attempt-Id: " + id + "\r\n", ""));
   } else if (dice < 60) {
     line->say("HTTP/1.1 100 Continue\r\n\r\n" + good);
+  } else if (dice < 65) {  // a failure of its own, which it doesn't seal
+    line->say(answer_text(410, "X-Woadridge-Attempt-Id: " + id + "\r\n", ""));
   } else {
     line->say(good);
   }
@@ -266,9 +274,9 @@
   net::write_header(head, "Content-Length", std::to_string(job->body.size()));
   head += "\r\n";
   job->tries.begin();
-  at_work_.insert(job);
+  at_work_.push_back(job);
   lines_.line(to, job->id)->begin(job->id, head.size(), head + job->body, [this, job](OutboundResult end) {
-    at_work_.erase(job);
+    std::erase(at_work_, job);
     const auto judged = judge_attempt(end);
     if (judged == AttemptEnd::answered || judged == AttemptEnd::may_have_run) job->tries.ran();
     else job->tries.not_run();
--- a/tests/platform/proxy/answers_world.h
+++ b/tests/platform/proxy/answers_world.h
@@ -73,7 +73,9 @@
 
  private:
   World& world_;
-  std::map<End*, std::vector<LineRef>> lines_;
+  std::vector<LineRef>& lines_to(End& to);
+  // In the order of their first use: a run must not depend on addresses.
+  std::vector<std::pair<End*, std::vector<LineRef>>> lines_;
 };
 
 class Instance : public End {
@@ -120,7 +122,7 @@
   std::unique_ptr<PeerCalls> calls_ = std::make_unique<PeerCalls>();
   std::map<Proxy*, std::uint64_t> known_;
   std::vector<std::shared_ptr<Asker>> askers_;
-  std::set<std::shared_ptr<Job>> at_work_;  // at an instance
+  std::vector<std::shared_ptr<Job>> at_work_;  // at an instance
 };
 
 class World {
